--- /dev/null
+++ b/core/http/http_connection.h
@@ -0,0 +1,62 @@
+// One kept-alive HTTP/1.1 connection of a client, one request at a time.
+#ifndef CORE_HTTP_HTTP_CONNECTION_H_
+#define CORE_HTTP_HTTP_CONNECTION_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "core/base/address.h"
+#include "core/base/result.h"
+#include "core/http/http_message.h"
+
+namespace boragecroft {
+
+// Why an exchange failed.
+struct HttpError {
+  enum class Kind { kConnect, kTimeout, kClosed, kProtocol };
+
+  Kind kind = Kind::kConnect;
+  // False: no byte of the request was handed to the network, so the peer cannot
+  // have acted on it.
+  bool request_sent = false;
+  std::string reason;
+};
+
+using HttpCompletion = std::function<void(Result<HttpResponse, HttpError>)>;
+
+namespace detail {
+class HttpConnectionState;
+}
+
+class HttpConnection {
+ public:
+  HttpConnection(boost::asio::io_context& context, Address peer);
+  ~HttpConnection();
+  HttpConnection(HttpConnection&&) noexcept;
+  auto operator=(HttpConnection&&) noexcept -> HttpConnection&;
+  HttpConnection(const HttpConnection&) = delete;
+  auto operator=(const HttpConnection&) -> HttpConnection& = delete;
+
+  // Connects when necessary, sends the request and calls `done` once, on the
+  // thread of the event loop. After a failure the connection is closed and
+  // never used again: an answer that comes late is not read.
+  auto Send(HttpRequest request,
+            milliseconds connect_timeout,
+            milliseconds answer_timeout,
+            HttpCompletion done) -> void;
+  // True when connected, without a request in progress, and the peer has
+  // neither closed nor sent anything unasked.
+  auto IsReusable() const -> bool;
+  // True while a request has no answer.
+  auto IsBusy() const -> bool;
+  auto Close() -> void;
+
+ private:
+  std::shared_ptr<detail::HttpConnectionState> state_;
+};
+
+}  // namespace boragecroft
+
+#endif  // CORE_HTTP_HTTP_CONNECTION_H_
--- /dev/null
+++ b/tests/core/http/http_test.cc
@@ -0,0 +1,159 @@
+#include <gtest/gtest.h>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <thread>
+
+#include "core/http/http_connection.h"
+#include "core/http/http_server.h"
+
+namespace boragecroft {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr auto kTimeout = seconds(5);
+
+// A server that echoes bodies, refuses the path /refused at its header, and
+// never answers /silent.
+class HttpTest : public testing::Test {
+ protected:
+  auto StartServer(HttpServerOptions options) -> void {
+    options.listen = Address{.ip = "127.0.0.1", .port = 0};
+    HttpServerCallbacks callbacks;
+    callbacks.on_head =
+        [](const HttpRequest& head) -> std::optional<HttpResponse> {
+      return head.target == "/refused"
+                 ? std::optional(HttpResponse{.status = 429})
+                 : std::nullopt;
+    };
+    callbacks.on_request = [this](const HttpRequest& request,
+                                  HttpResponder respond) {
+      if (request.target == "/silent") {
+        silent_.push_back(std::move(respond));
+        return;
+      }
+      respond(HttpResponse{.status = 200, .body = request.body});
+    };
+    callbacks.on_fault = [](HttpFault fault) {
+      return HttpResponse{.status = fault == HttpFault::kTooSlow ? 408 : 413};
+    };
+    server_ =
+        HttpServer::Listen(context_, options, std::move(callbacks)).value();
+    port_ = server_->Port();
+  }
+
+  auto Peer() const -> Address {
+    return Address{.ip = "127.0.0.1", .port = port_};
+  }
+
+  // Sends one request and runs the event loop until its completion.
+  auto Exchange(HttpConnection& connection,
+                HttpRequest request,
+                milliseconds timeout = kTimeout)
+      -> Result<HttpResponse, HttpError> {
+    std::optional<Result<HttpResponse, HttpError>> outcome;
+    connection.Send(std::move(request), kTimeout, timeout,
+                    [&](auto result) { outcome = std::move(result); });
+    context_.restart();
+    while (!outcome && context_.run_one_for(kTimeout) > 0) {
+    }
+    return std::move(*outcome);
+  }
+
+  // Sends raw bytes, then reads until the server closes.
+  auto ExchangeRaw(std::string bytes) -> std::string {
+    std::string reply;
+    std::thread client([&] {
+      asio::io_context io;
+      asio::ip::tcp::socket socket(io);
+      socket.connect({asio::ip::make_address("127.0.0.1"), port_});
+      asio::write(socket, asio::buffer(bytes));
+      boost::system::error_code ec;
+      asio::read(socket, asio::dynamic_buffer(reply), ec);
+      context_.stop();
+    });
+    context_.restart();
+    context_.run_for(kTimeout * 2);
+    client.join();
+    return reply;
+  }
+
+  asio::io_context context_;
+  std::vector<HttpResponder> silent_;
+  std::unique_ptr<HttpServer> server_;
+  uint16_t port_ = 0;
+};
+
+TEST_F(HttpTest, OneConnectionCarriesManyExchanges) {
+  StartServer({});
+  HttpConnection connection(context_, Peer());
+  for (const auto* it : {"one", "two"}) {
+    const auto response = Exchange(
+        connection,
+        HttpRequest{
+            .method = "POST", .target = "/", .headers = {}, .body = it});
+    ASSERT_TRUE(response.has_value());
+    EXPECT_EQ(response.value().body, it);
+    EXPECT_TRUE(connection.IsReusable());
+  }
+}
+
+TEST_F(HttpTest, ARefusalAtTheHeaderNeedsNoBody) {
+  StartServer({});
+  const auto reply = ExchangeRaw(
+      "POST /refused HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000\r\n\r\n");
+  EXPECT_TRUE(reply.starts_with("HTTP/1.1 429")) << reply;
+}
+
+TEST_F(HttpTest, AnOversizedBodyIsRefusedBeforeItIsRead) {
+  StartServer({.listen = {}, .max_body_bytes = 10});
+  const auto reply = ExchangeRaw(
+      "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000\r\n\r\n");
+  EXPECT_TRUE(reply.starts_with("HTTP/1.1 413")) << reply;
+}
+
+TEST_F(HttpTest, ASlowSenderIsToldSo) {
+  StartServer({.listen = {}, .body_timeout = milliseconds(50)});
+  const auto reply = ExchangeRaw(
+      "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\nabc");
+  EXPECT_TRUE(reply.starts_with("HTTP/1.1 408")) << reply;
+}
+
+TEST_F(HttpTest, ATimeoutAfterSendingSaysThatTheRequestWasSent) {
+  StartServer({});
+  HttpConnection connection(context_, Peer());
+  const auto result = Exchange(
+      connection,
+      HttpRequest{
+          .method = "GET", .target = "/silent", .headers = {}, .body = {}},
+      milliseconds(50));
+  ASSERT_FALSE(result.has_value());
+  EXPECT_EQ(result.error().kind, HttpError::Kind::kTimeout);
+  EXPECT_TRUE(result.error().request_sent);
+  EXPECT_FALSE(connection.IsReusable());
+}
+
+TEST_F(HttpTest, ARefusedConnectionSaysThatNothingWasSent) {
+  StartServer({});
+  server_.reset();
+  HttpConnection connection(context_, Peer());
+  const auto result = Exchange(
+      connection,
+      HttpRequest{.method = "GET", .target = "/", .headers = {}, .body = {}});
+  ASSERT_FALSE(result.has_value());
+  EXPECT_FALSE(result.error().request_sent);
+}
+
+TEST(HttpMessageTest, TargetsAreTakenApart) {
+  EXPECT_EQ(TargetPath("/v1/jobs?wait_ms=5"), "/v1/jobs");
+  EXPECT_EQ(QueryParameter("/v1/jobs?a=1&wait_ms=5", "wait_ms"), "5");
+  EXPECT_EQ(QueryParameter("/v1/jobs", "wait_ms"), "");
+  EXPECT_EQ(PathSegments("/v1//jobs/x?y"),
+            (std::vector<std::string>{"v1", "jobs", "x"}));
+}
+
+}  // namespace
+}  // namespace boragecroft
