--- /dev/null
+++ b/peers/caller/api_error.h
@@ -0,0 +1,30 @@
+// A request that breaks the callers' interface. Nothing of it ran.
+#ifndef PEERS_CALLER_API_ERROR_H_
+#define PEERS_CALLER_API_ERROR_H_
+
+#include <string>
+
+namespace boragecroft {
+
+enum class ApiErrorCode {
+  kMalformedHttp,
+  kBodyTooLarge,
+  kHeadTooLarge,
+  kTooSlow,
+  kMalformedJson,
+  kInvalidField,
+  kUnknownVersion,
+  kTooManyTasks,
+  kNoSuchResource,
+  kMethodNotAllowed,
+};
+
+struct ApiError {
+  ApiErrorCode code = ApiErrorCode::kMalformedJson;
+  std::string field;   // empty when no single field is at fault
+  std::string reason;  // what was found and what is allowed
+};
+
+}  // namespace boragecroft
+
+#endif  // PEERS_CALLER_API_ERROR_H_
--- /dev/null
+++ b/peers/caller/caller_server.cc
@@ -0,0 +1,235 @@
+#include "peers/caller/caller_server.h"
+
+#include <boost/json/serialize.hpp>
+#include <charconv>
+#include <utility>
+
+#include "core/json/object_reader.h"
+#include "peers/caller/caller_codec.h"
+#include "peers/caller/submission_codec.h"
+
+namespace boragecroft {
+namespace {
+
+constexpr milliseconds kMaxWait{60000};
+constexpr milliseconds kRetryAfter{200};
+
+auto WaitOf(const HttpRequest& request) -> milliseconds {
+  const auto text = QueryParameter(request.target, "wait_ms");
+  int64_t wait = 0;
+  std::from_chars(text.data(), text.data() + text.size(), wait);
+  return std::clamp(milliseconds(wait), milliseconds(0), kMaxWait);
+}
+
+auto VersionOf(const HttpRequest& request) -> int {
+  return QueryParameter(request.target, "schema_version") == "1"
+             ? 1
+             : kNewestRecordVersion;
+}
+
+auto FaultResponse(HttpFault fault) -> HttpResponse {
+  switch (fault) {
+    case HttpFault::kMalformed:
+      return ToHttp(ApiError{.code = ApiErrorCode::kMalformedHttp,
+                             .field = "",
+                             .reason = "this is not HTTP/1.1"});
+    case HttpFault::kHeadTooLarge:
+      return ToHttp(ApiError{.code = ApiErrorCode::kHeadTooLarge,
+                             .field = "",
+                             .reason = "the header is too long"});
+    case HttpFault::kBodyTooLarge:
+      return ToHttp(ApiError{.code = ApiErrorCode::kBodyTooLarge,
+                             .field = "",
+                             .reason = "the body is too long"});
+    case HttpFault::kTooSlow:
+      return ToHttp(ApiError{.code = ApiErrorCode::kTooSlow,
+                             .field = "",
+                             .reason = "the request took too long"});
+    case HttpFault::kTooManyConnections:
+      break;
+  }
+  return ToHttp(RefusalReply{.refusal = Refusal::kOverloaded,
+                             .reason = "too many connections",
+                             .retry_after = kRetryAfter},
+                kNewestRecordVersion);
+}
+
+auto NotFound(const HttpRequest& request) -> HttpResponse {
+  return ToHttp(ApiError{.code = ApiErrorCode::kNoSuchResource,
+                         .field = "",
+                         .reason = "nothing is at " + request.method + " " +
+                                   request.target.substr(0, 100)});
+}
+
+auto StateResponse(bool good, std::string_view name) -> HttpResponse {
+  json::object body;
+  body[name] = good;
+  HttpResponse response;
+  response.status = good ? 200 : 503;
+  response.body = json::serialize(body);
+  return response;
+}
+
+}  // namespace
+
+auto CallerServer::Listen(boost::asio::io_context& context,
+                          const Address& address,
+                          const SharedCallerView& view,
+                          std::function<bool(CallerRequest)> submit)
+    -> Result<std::unique_ptr<CallerServer>, std::string> {
+  auto self =
+      std::unique_ptr<CallerServer>(new CallerServer(view, std::move(submit)));
+  HttpServerOptions options;
+  options.listen = address;
+  HttpServerCallbacks callbacks;
+  callbacks.on_request = [server = self.get()](const HttpRequest& request,
+                                               HttpResponder respond) {
+    server->OnRequest(request, std::move(respond));
+  };
+  callbacks.on_fault = FaultResponse;
+  auto listening = HttpServer::Listen(context, options, std::move(callbacks));
+  if (listening.has_error()) {
+    return listening.error();
+  }
+  self->server_ = std::move(listening).value();
+  return self;
+}
+
+CallerServer::CallerServer(const SharedCallerView& view,
+                           std::function<bool(CallerRequest)> submit)
+    : view_(view), submit_(std::move(submit)) {}
+
+auto CallerServer::Port() const -> uint16_t {
+  return server_->Port();
+}
+
+auto CallerServer::Deliver(const CallerReply& reply) -> void {
+  const auto it = pending_.find(reply.reply_to.number);
+  if (it == pending_.end()) {
+    return;
+  }
+  const auto pending = std::move(it->second);
+  pending_.erase(it);
+  pending.respond(ToHttp(reply.body, pending.schema_version));
+}
+
+auto CallerServer::Drain() -> void {
+  server_->Drain();
+}
+
+auto CallerServer::Waiting() const -> size_t {
+  return pending_.size();
+}
+
+auto CallerServer::OnRequest(const HttpRequest& request, HttpResponder respond)
+    -> void {
+  const auto path = PathSegments(request.target);
+  if (path.size() == 1 && path[0] == "healthz") {
+    respond(StateResponse(true, "live"));
+  } else if (path.size() == 1 && path[0] == "readyz") {
+    respond(StateResponse(view_.load()->ready, "ready"));
+  } else if (path.size() == 2 && path[0] == "v1" && path[1] == "ids" &&
+             request.method == "POST") {
+    OnMint(request, respond);
+  } else if (path.size() >= 2 && path[0] == "v1" && path[1] == "jobs") {
+    OnJobs(request, path, std::move(respond));
+  } else {
+    respond(NotFound(request));
+  }
+}
+
+auto CallerServer::OnJobs(const HttpRequest& request,
+                          const std::vector<std::string>& path,
+                          HttpResponder respond) -> void {
+  if (path.size() == 2 && request.method == "POST") {
+    OnSubmit(request, respond);
+    return;
+  }
+  const auto id = path.size() > 2 ? ParseJobId(path[2]) : std::nullopt;
+  if (!id) {
+    respond(NotFound(request));
+    return;
+  }
+  if (path.size() == 3 && request.method == "GET") {
+    OnFetch(request, *id, std::move(respond));
+  } else if (path.size() == 4 && path[3] == "cancel" &&
+             request.method == "POST") {
+    OnCancel(request, *id, respond);
+  } else {
+    respond(NotFound(request));
+  }
+}
+
+auto CallerServer::OnMint(const HttpRequest& request,
+                          const HttpResponder& respond) -> void {
+  auto parsed = ParseMint(request.body);
+  if (parsed.has_error()) {
+    respond(ToHttp(parsed.error()));
+    return;
+  }
+  HandOver(std::move(parsed.value().request), parsed.value().schema_version,
+           respond);
+}
+
+auto CallerServer::OnSubmit(const HttpRequest& request,
+                            const HttpResponder& respond) -> void {
+  const auto view = view_.load();
+  if (!view->configuration) {
+    respond(ToHttp(RefusalReply{.refusal = Refusal::kNotReady,
+                                .reason = "no configuration is in force yet",
+                                .retry_after = kRetryAfter},
+                   kNewestRecordVersion));
+    return;
+  }
+  auto parsed = ParseSubmission(request.body, *view->configuration);
+  if (parsed.has_error()) {
+    respond(ToHttp(parsed.error()));
+    return;
+  }
+  auto& submit = parsed.value();
+  submit.wait = WaitOf(request);
+  const auto version = submit.submission->schema_version;
+  HandOver(std::move(submit), version, respond);
+}
+
+auto CallerServer::OnFetch(const HttpRequest& request,
+                           const JobId& id,
+                           HttpResponder respond) -> void {
+  FetchRequest fetch;
+  fetch.id = id;
+  fetch.partner = QueryParameter(request.target, "partner");
+  fetch.wait = WaitOf(request);
+  HandOver(std::move(fetch), VersionOf(request), std::move(respond));
+}
+
+auto CallerServer::OnCancel(const HttpRequest& request,
+                            const JobId& id,
+                            const HttpResponder& respond) -> void {
+  CancelRequest cancel;
+  cancel.id = id;
+  cancel.partner = QueryParameter(request.target, "partner");
+  HandOver(std::move(cancel), VersionOf(request), respond);
+}
+
+auto CallerServer::HandOver(CallerCall call,
+                            int schema_version,
+                            HttpResponder respond) -> void {
+  const auto number = next_number_++;
+  pending_.emplace(number, Pending{.respond = std::move(respond),
+                                   .schema_version = schema_version});
+  CallerRequest request;
+  request.reply_to.number = number;
+  request.call = std::move(call);
+  if (submit_(std::move(request))) {
+    return;
+  }
+  CallerReply reply;
+  reply.reply_to.number = number;
+  reply.body = RefusalReply{
+      .refusal = Refusal::kOverloaded,
+      .reason = "this instance takes no more requests at the moment",
+      .retry_after = kRetryAfter};
+  Deliver(reply);
+}
+
+}  // namespace boragecroft
--- /dev/null
+++ b/peers/endpoint/endpoint_client.cc
@@ -0,0 +1,130 @@
+#include "peers/endpoint/endpoint_client.h"
+
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "peers/endpoint/endpoint_codec.h"
+
+namespace boragecroft {
+
+namespace detail {
+
+constexpr milliseconds kConnectTimeout{500};
+constexpr milliseconds kRenewalTimeout{2000};
+
+// A connection between two uses.
+struct IdleConnection {
+  std::shared_ptr<HttpConnection> connection;
+  Instant opened;
+};
+
+struct EndpointPool : std::enable_shared_from_this<EndpointPool> {
+  EndpointPool(boost::asio::io_context& io,
+               std::function<void(AttemptOutcome)> callback)
+      : context(io), on_outcome(std::move(callback)) {}
+
+  boost::asio::io_context& context;
+  const std::function<void(AttemptOutcome)> on_outcome;
+  std::unordered_map<Address, std::vector<IdleConnection>> idle;
+};
+
+static auto NewConnection(EndpointPool& pool, const Address& endpoint)
+    -> IdleConnection {
+  return IdleConnection{
+      .connection = std::make_shared<HttpConnection>(pool.context, endpoint),
+      .opened = BootClock::now()};
+}
+
+// The most recently used connection that still stands, or a new one.
+static auto TakeConnection(EndpointPool& pool, const Address& endpoint)
+    -> IdleConnection {
+  auto& idle = pool.idle[endpoint];
+  while (!idle.empty()) {
+    auto candidate = std::move(idle.back());
+    idle.pop_back();
+    if (candidate.connection->IsReusable()) {
+      return candidate;
+    }
+  }
+  return NewConnection(pool, endpoint);
+}
+
+// A connection that went silent may share its fate with those opened before it:
+// something on the way has lost track of them. They are closed; newer ones
+// stay.
+static auto RetireElders(EndpointPool& pool,
+                         const Address& endpoint,
+                         Instant opened) -> void {
+  auto& idle = pool.idle[endpoint];
+  std::erase_if(idle,
+                [&](const IdleConnection& it) { return it.opened <= opened; });
+}
+
+// Sends on a connection of the pool, and gives the connection back only after a
+// whole answer.
+static auto Exchange(const std::shared_ptr<EndpointPool>& pool,
+                     const Address& endpoint,
+                     IdleConnection use,
+                     HttpRequest request,
+                     milliseconds timeout,
+                     HttpCompletion done) -> void {
+  auto connection = use.connection;
+  auto finish = [pool, endpoint, use = std::move(use), done = std::move(done)](
+                    Result<HttpResponse, HttpError> answer) {
+    if (answer.has_value() && use.connection->IsReusable()) {
+      pool->idle[endpoint].push_back(use);
+    }
+    if (answer.has_error() &&
+        answer.error().kind == HttpError::Kind::kTimeout) {
+      RetireElders(*pool, endpoint, use.opened);
+    }
+    done(std::move(answer));
+  };
+  connection->Send(std::move(request), kConnectTimeout, timeout,
+                   std::move(finish));
+}
+
+static auto Run(const std::shared_ptr<EndpointPool>& pool,
+                const StartAttempt& start) -> void {
+  auto done = [pool,
+               id = start.id](const Result<HttpResponse, HttpError>& answer) {
+    pool->on_outcome(DecodeStartAnswer(id, answer));
+  };
+  Exchange(pool, start.endpoint, TakeConnection(*pool, start.endpoint),
+           EncodeStart(start), start.timeout, std::move(done));
+}
+
+static auto Run(const std::shared_ptr<EndpointPool>& pool,
+                const RenewLeases& renewal) -> void {
+  Exchange(pool, renewal.endpoint, TakeConnection(*pool, renewal.endpoint),
+           EncodeRenewal(renewal), kRenewalTimeout,
+           [](const Result<HttpResponse, HttpError>&) {});
+}
+
+// A stop settles what a silent connection left open, so it never travels on a
+// connection that may be silent, too.
+static auto Run(const std::shared_ptr<EndpointPool>& pool,
+                const StopAttempt& stop) -> void {
+  auto done = [pool,
+               id = stop.id](const Result<HttpResponse, HttpError>& answer) {
+    pool->on_outcome(DecodeStopAnswer(id, answer));
+  };
+  Exchange(pool, stop.endpoint, NewConnection(*pool, stop.endpoint),
+           EncodeStop(stop), stop.timeout, std::move(done));
+}
+
+}  // namespace detail
+
+EndpointClient::EndpointClient(boost::asio::io_context& context,
+                               std::function<void(AttemptOutcome)> on_outcome)
+    : pool_(std::make_shared<detail::EndpointPool>(context,
+                                                   std::move(on_outcome))) {}
+
+EndpointClient::~EndpointClient() = default;
+
+auto EndpointClient::Execute(EndpointCommand command) -> void {
+  std::visit([&](const auto& it) { detail::Run(pool_, it); }, command);
+}
+
+}  // namespace boragecroft
--- /dev/null
+++ b/peers/endpoint/endpoint_codec.cc
@@ -0,0 +1,188 @@
+#include "peers/endpoint/endpoint_codec.h"
+
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
+
+#include "core/json/text.h"
+
+namespace boragecroft {
+namespace {
+
+// Appends the payload as it stands: callers' JSON is checked once, when it is
+// accepted.
+auto StartBody(const StartAttempt& start) -> std::string {
+  json::object body;
+  body["schema_version"] = 1;
+  body["task"] = ToString(start.id);
+  body["service"] = start.service;
+  body["kind"] = start.kind;
+  body["lease_ms"] = start.lease.count();
+  if (start.needs != Needs{}) {
+    body["needs"] = {{"cpu_millis", start.needs.cpu_millis},
+                     {"memory_mb", start.needs.memory_mb},
+                     {"accelerators", start.needs.accelerators}};
+  }
+  auto text = json::serialize(body);
+  text.pop_back();
+  return text + ",\"payload\":" + start.payload + "}";
+}
+
+auto ToRequest(std::string target, std::string body) -> HttpRequest {
+  HttpRequest request;
+  request.method = "POST";
+  request.target = std::move(target);
+  request.headers.push_back(HttpHeader{"Content-Type", "application/json"});
+  request.body = std::move(body);
+  return request;
+}
+
+auto Failure(const AttemptId& id, const HttpError& error) -> AttemptOutcome {
+  AttemptOutcome outcome;
+  outcome.id = id;
+  outcome.text = error.reason;
+  if (!error.request_sent) {
+    outcome.end = ExchangeEnd::kNotSent;
+  } else if (error.kind == HttpError::Kind::kProtocol) {
+    outcome.end = ExchangeEnd::kProtocol;
+  } else {
+    outcome.end = ExchangeEnd::kSilent;
+  }
+  return outcome;
+}
+
+auto ProtocolError(const AttemptId& id, std::string reason) -> AttemptOutcome {
+  AttemptOutcome outcome;
+  outcome.id = id;
+  outcome.end = ExchangeEnd::kProtocol;
+  outcome.text = std::move(reason);
+  return outcome;
+}
+
+auto MemberText(const json::object& body, std::string_view key)
+    -> std::string_view {
+  const auto* member = body.if_contains(key);
+  return member != nullptr && member->is_string()
+             ? std::string_view(member->get_string())
+             : std::string_view();
+}
+
+auto DecodeEnd(const json::object& body, AttemptOutcome& outcome) -> bool {
+  const auto state = MemberText(body, "state");
+  const auto reason = MemberText(body, "reason");
+  outcome.text = reason;
+  if (state == "done" && body.contains("result")) {
+    outcome.end = ExchangeEnd::kDone;
+    outcome.text = json::serialize(body.at("result"));
+  } else if (state == "failed" || state == "stopped") {
+    outcome.end = ExchangeEnd::kFailed;
+    outcome.text = reason.empty() ? state : reason;
+  } else if (state == "refused" && reason == "busy") {
+    outcome.end = ExchangeEnd::kBusy;
+  } else if (state == "refused" && reason == "draining") {
+    outcome.end = ExchangeEnd::kDraining;
+  } else if (state == "refused" && reason == "cannot_run") {
+    outcome.end = ExchangeEnd::kCannotRun;
+  } else if (state == "not_started" ||
+             (state == "refused" && reason == "stopped")) {
+    outcome.end = ExchangeEnd::kNotStarted;
+  } else {
+    return false;
+  }
+  return true;
+}
+
+auto DecodeAnswer(const AttemptId& id,
+                  const Result<HttpResponse, HttpError>& answer)
+    -> AttemptOutcome {
+  if (answer.has_error()) {
+    return Failure(id, answer.error());
+  }
+  const auto parsed = ParseJson(answer.value().body);
+  if (parsed.has_error() || !parsed.value().is_object()) {
+    return ProtocolError(id, "the answer is not a JSON object");
+  }
+  const auto& body = parsed.value().get_object();
+  const auto task = MemberText(body, "task");
+  if (task != ToString(id)) {
+    return ProtocolError(id,
+                         "the answer names another task: " + std::string(task));
+  }
+  AttemptOutcome outcome;
+  outcome.id = id;
+  if (!DecodeEnd(body, outcome)) {
+    return ProtocolError(id, "the answer has no known state");
+  }
+  return outcome;
+}
+
+}  // namespace
+
+auto ToString(const AttemptId& id) -> std::string {
+  auto text = ToString(id.task);
+  if (id.attempt > 0) {
+    text += "#" + std::to_string(id.attempt);
+  }
+  return text;
+}
+
+auto CertainlyNotStarted(ExchangeEnd end) -> bool {
+  switch (end) {
+    case ExchangeEnd::kBusy:
+    case ExchangeEnd::kDraining:
+    case ExchangeEnd::kCannotRun:
+    case ExchangeEnd::kNotStarted:
+    case ExchangeEnd::kNotSent:
+      return true;
+    case ExchangeEnd::kDone:
+    case ExchangeEnd::kFailed:
+    case ExchangeEnd::kSilent:
+    case ExchangeEnd::kProtocol:
+      return false;
+  }
+  return false;
+}
+
+auto EncodeStart(const StartAttempt& start) -> HttpRequest {
+  return ToRequest("/v1/tasks", StartBody(start));
+}
+
+auto EncodeRenewal(const RenewLeases& renewal) -> HttpRequest {
+  json::array tasks;
+  for (const auto& it : renewal.ids) {
+    tasks.emplace_back(ToString(it));
+  }
+  json::object body;
+  body["lease_ms"] = renewal.lease.count();
+  body["tasks"] = std::move(tasks);
+  return ToRequest("/v1/leases", json::serialize(body));
+}
+
+auto EncodeStop(const StopAttempt& stop) -> HttpRequest {
+  json::object body;
+  body["task"] = ToString(stop.id);
+  return ToRequest("/v1/stop", json::serialize(body));
+}
+
+auto DecodeStartAnswer(const AttemptId& id,
+                       const Result<HttpResponse, HttpError>& answer)
+    -> AttemptOutcome {
+  return DecodeAnswer(id, answer);
+}
+
+auto DecodeStopAnswer(const AttemptId& id,
+                      const Result<HttpResponse, HttpError>& answer)
+    -> AttemptOutcome {
+  auto outcome = DecodeAnswer(id, answer);
+  outcome.from_stop = true;
+  // That the stop itself was not sent says nothing about the attempt, and a
+  // refusal is no answer to a stop.
+  if (outcome.end == ExchangeEnd::kNotSent ||
+      outcome.end == ExchangeEnd::kBusy ||
+      outcome.end == ExchangeEnd::kDraining ||
+      outcome.end == ExchangeEnd::kCannotRun) {
+    outcome.end = ExchangeEnd::kSilent;
+  }
+  return outcome;
+}
+
+}  // namespace boragecroft
--- /dev/null
+++ b/peers/instance/boragecroft.thrift
@@ -0,0 +1,86 @@
+// What instances say to each other. Framed, compact protocol. Fields are only ever added, with new numbers.
+namespace cpp boragecroft.wire
+
+struct WireSubmission {
+  1: i32 schema_version
+  2: string id
+  3: string partner
+  4: string team
+  5: string service_name
+  6: string kind
+  7: string urgency_class
+  8: i64 deadline_ms
+  9: i64 run_time_hint_ms
+  10: bool repeatable
+  11: i32 cpu_millis
+  12: i32 memory_mb
+  13: i32 accelerators
+  14: list<string> payloads
+}
+
+struct WireAnswer {
+  1: string id
+  2: byte state
+  3: bool recorded
+  4: string reason
+  5: binary task_states
+  6: list<string> results
+  7: string partner
+  8: i64 tasks
+}
+
+// A caller's request about a job that another instance owns.
+struct WireRelayRequest {
+  1: i64 number
+  2: byte call
+  3: string id
+  4: string partner
+  5: i64 wait_ms
+  6: optional WireSubmission submission
+}
+
+struct WireRelayReply {
+  1: i64 number
+  2: byte outcome
+  3: string reason
+  4: byte refusal
+  5: i64 retry_after_ms
+  6: optional WireAnswer answer
+}
+
+struct WireDemand {
+  1: string name
+  2: i32 tasks
+}
+
+struct WireHeartbeat {
+  1: string instance
+  2: string zone
+  3: string address
+  4: i64 sequence
+  5: i64 configuration_version
+  6: bool leaving
+  7: list<WireDemand> service_demands
+  8: list<WireDemand> team_demands
+  9: i64 echo_incarnation
+  10: i64 echo_sequence
+}
+
+struct WireConfigurationRequest {
+  1: i64 known_version
+}
+
+struct WireConfiguration {
+  1: i64 version
+  2: string document
+}
+
+// One frame.
+struct WireMessage {
+  1: i64 from_incarnation
+  2: optional WireHeartbeat heartbeat
+  3: optional WireRelayRequest relay_request
+  4: optional WireRelayReply relay_reply
+  5: optional WireConfigurationRequest configuration_request
+  6: optional WireConfiguration configuration
+}
--- /dev/null
+++ b/peers/instance/instance_link.cc
@@ -0,0 +1,294 @@
+#include "peers/instance/instance_link.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <deque>
+#include <unordered_map>
+#include <utility>
+
+#include "core/log/log.h"
+#include "peers/instance/instance_codec.h"
+
+namespace boragecroft {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+namespace detail {
+
+constexpr size_t kHeaderBytes = 4;
+constexpr uint32_t kMaxFrameBytes = 64U << 20U;
+constexpr size_t kMaxQueuedBytes = 64U << 20U;
+constexpr milliseconds kConnectTimeout{500};
+constexpr milliseconds kWriteTimeout{2000};
+
+// A frame: the length of the message as four bytes, most significant first,
+// then the message.
+static auto Frame(const std::string& message) -> std::string {
+  const auto n = static_cast<uint32_t>(message.size());
+  std::string frame;
+  frame.reserve(kHeaderBytes + message.size());
+  for (const auto shift : {24U, 16U, 8U, 0U}) {
+    frame.push_back(static_cast<char>((n >> shift) & 0xFFU));
+  }
+  return frame + message;
+}
+
+static auto FrameLength(const std::string& header) -> uint32_t {
+  uint32_t n = 0;
+  for (size_t i = 0; i < kHeaderBytes; ++i) {
+    n = (n << 8U) | static_cast<uint8_t>(header[i]);
+  }
+  return n;
+}
+
+// A connection to one peer, for sending.
+class Outgoing : public std::enable_shared_from_this<Outgoing> {
+ public:
+  Outgoing(asio::io_context& context, const Address& peer)
+      : socket_(context),
+        timer_(context),
+        endpoint_(asio::ip::make_address(peer.ip), peer.port) {}
+
+  auto Send(std::string frame) -> void {
+    if (queued_bytes_ + frame.size() > kMaxQueuedBytes) {
+      return;
+    }
+    queued_bytes_ += frame.size();
+    frames_.push_back(std::move(frame));
+    if (state_ == State::kClosed) {
+      Connect();
+    } else if (state_ == State::kIdle) {
+      Write();
+    }
+  }
+
+  auto Close() -> void {
+    boost::system::error_code ec;
+    socket_.close(ec);
+    timer_.cancel();
+    frames_.clear();
+    queued_bytes_ = 0;
+    state_ = State::kClosed;
+    ++generation_;
+  }
+
+ private:
+  enum class State { kClosed, kConnecting, kIdle, kWriting };
+
+  auto Connect() -> void {
+    state_ = State::kConnecting;
+    ArmTimer(kConnectTimeout);
+    socket_.async_connect(endpoint_,
+                          [self = shared_from_this(),
+                           n = generation_](boost::system::error_code ec) {
+                            if (n != self->generation_) {
+                              return;
+                            }
+                            if (ec) {
+                              self->Close();
+                              return;
+                            }
+                            self->socket_.set_option(tcp::no_delay(true), ec);
+                            self->WatchForClose();
+                            self->Write();
+                          });
+  }
+
+  // The peer sends nothing on this connection: any completed read means that it
+  // closed.
+  auto WatchForClose() -> void {
+    socket_.async_wait(tcp::socket::wait_read,
+                       [self = shared_from_this(),
+                        n = generation_](boost::system::error_code) {
+                         if (n == self->generation_) {
+                           self->Close();
+                         }
+                       });
+  }
+
+  auto Write() -> void {
+    state_ = State::kWriting;
+    ArmTimer(kWriteTimeout);
+    asio::async_write(socket_, asio::buffer(frames_.front()),
+                      [self = shared_from_this(), n = generation_](
+                          boost::system::error_code ec, size_t) {
+                        if (n == self->generation_) {
+                          self->OnWritten(ec);
+                        }
+                      });
+  }
+
+  auto OnWritten(boost::system::error_code ec) -> void {
+    if (ec) {
+      Close();
+      return;
+    }
+    queued_bytes_ -= frames_.front().size();
+    frames_.pop_front();
+    if (!frames_.empty()) {
+      Write();
+      return;
+    }
+    timer_.cancel();
+    state_ = State::kIdle;
+  }
+
+  auto ArmTimer(milliseconds timeout) -> void {
+    timer_.expires_after(timeout);
+    timer_.async_wait([self = shared_from_this(),
+                       n = generation_](boost::system::error_code ec) {
+      if (!ec && n == self->generation_) {
+        self->Close();
+      }
+    });
+  }
+
+  tcp::socket socket_;
+  asio::steady_timer timer_;
+  const tcp::endpoint endpoint_;
+  std::deque<std::string> frames_;
+  size_t queued_bytes_ = 0;
+  uint64_t generation_ = 0;
+  State state_ = State::kClosed;
+};
+
+struct InstanceLinkState {
+  InstanceLinkState(asio::io_context& io,
+                    std::function<void(PeerMessage)> callback)
+      : context(io), acceptor(io), on_message(std::move(callback)) {}
+
+  asio::io_context& context;
+  tcp::acceptor acceptor;
+  const std::function<void(PeerMessage)> on_message;
+  std::unordered_map<Address, std::shared_ptr<Outgoing>> outgoing;
+};
+
+// A connection that a peer opened, for reading.
+class Incoming : public std::enable_shared_from_this<Incoming> {
+ public:
+  Incoming(std::shared_ptr<InstanceLinkState> state, tcp::socket socket)
+      : state_(std::move(state)), socket_(std::move(socket)) {}
+
+  auto ReadHeader() -> void {
+    buf_.resize(kHeaderBytes);
+    asio::async_read(
+        socket_, asio::buffer(buf_),
+        [self = shared_from_this()](boost::system::error_code ec, size_t) {
+          if (ec) {
+            return;
+          }
+          self->ReadBody(FrameLength(self->buf_));
+        });
+  }
+
+ private:
+  auto ReadBody(uint32_t n) -> void {
+    if (n > kMaxFrameBytes) {
+      Log(LogLevel::kWarning, "peer_frame_too_long", {{"bytes", n}});
+      return;
+    }
+    buf_.resize(n);
+    asio::async_read(
+        socket_, asio::buffer(buf_),
+        [self = shared_from_this()](boost::system::error_code ec, size_t) {
+          if (!ec) {
+            self->OnFrame();
+          }
+        });
+  }
+
+  auto OnFrame() -> void {
+    auto message = DecodePeerMessage(buf_);
+    if (!message) {
+      Log(LogLevel::kWarning, "peer_frame_unreadable",
+          {{"bytes", buf_.size()}});
+      return;
+    }
+    state_->on_message(std::move(*message));
+    ReadHeader();
+  }
+
+  const std::shared_ptr<InstanceLinkState> state_;
+  tcp::socket socket_;
+  std::string buf_;
+};
+
+static auto Accept(const std::shared_ptr<InstanceLinkState>& state) -> void {
+  state->acceptor.async_accept(
+      [state](boost::system::error_code ec, tcp::socket socket) {
+        if (!state->acceptor.is_open()) {
+          return;
+        }
+        if (!ec) {
+          std::make_shared<Incoming>(state, std::move(socket))->ReadHeader();
+        }
+        Accept(state);
+      });
+}
+
+static auto Run(InstanceLinkState& state, const SendToPeer& command) -> void {
+  auto& outgoing = state.outgoing[command.to];
+  if (!outgoing) {
+    outgoing = std::make_shared<Outgoing>(state.context, command.to);
+  }
+  outgoing->Send(Frame(EncodePeerMessage(command.message)));
+}
+
+static auto Run(InstanceLinkState& state, const ResetPeerConnection& command)
+    -> void {
+  const auto it = state.outgoing.find(command.to);
+  if (it != state.outgoing.end()) {
+    it->second->Close();
+  }
+}
+
+}  // namespace detail
+
+auto InstanceLink::Listen(asio::io_context& context,
+                          const Address& address,
+                          std::function<void(PeerMessage)> on_message)
+    -> Result<std::unique_ptr<InstanceLink>, std::string> {
+  auto state = std::make_shared<detail::InstanceLinkState>(
+      context, std::move(on_message));
+  boost::system::error_code ec;
+  const tcp::endpoint endpoint(asio::ip::make_address(address.ip, ec),
+                               address.port);
+  auto& acceptor = state->acceptor;
+  if (!ec) {
+    acceptor.open(endpoint.protocol(), ec);
+  }
+  if (!ec) {
+    acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+    acceptor.bind(endpoint, ec);
+  }
+  if (!ec) {
+    acceptor.listen(asio::socket_base::max_listen_connections, ec);
+  }
+  if (ec) {
+    return "cannot listen on " + ToString(address) + ": " + ec.message();
+  }
+  detail::Accept(state);
+  return std::unique_ptr<InstanceLink>(new InstanceLink(std::move(state)));
+}
+
+InstanceLink::InstanceLink(std::shared_ptr<detail::InstanceLinkState> state)
+    : state_(std::move(state)) {}
+
+InstanceLink::~InstanceLink() {
+  boost::system::error_code ec;
+  state_->acceptor.close(ec);
+}
+
+auto InstanceLink::Port() const -> uint16_t {
+  boost::system::error_code ec;
+  return state_->acceptor.local_endpoint(ec).port();
+}
+
+auto InstanceLink::Execute(PeerCommand command) -> void {
+  std::visit([&](const auto& it) { detail::Run(*state_, it); }, command);
+}
+
+}  // namespace boragecroft
--- /dev/null
+++ b/servers/dispatcher/peer_messages.h
@@ -0,0 +1,86 @@
+// What instances say to each other.
+#ifndef SERVERS_DISPATCHER_PEER_MESSAGES_H_
+#define SERVERS_DISPATCHER_PEER_MESSAGES_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/base/address.h"
+#include "core/base/ids.h"
+#include "servers/dispatcher/caller_messages.h"
+
+namespace boragecroft {
+
+// Tasks queued and in progress of one service or one team on one instance.
+struct Demand {
+  std::string name;
+  uint32_t tasks = 0;
+};
+
+struct Heartbeat {
+  std::string instance;
+  std::string zone;
+  Address address;
+  uint64_t sequence = 0;
+  uint64_t configuration_version = 0;
+  bool leaving = false;
+  std::vector<Demand> service_demands;
+  std::vector<Demand> team_demands;
+  // The last heartbeat that the sender heard from the receiver: shows the
+  // receiver whether its own arrive.
+  Incarnation echo_incarnation;
+  uint64_t echo_sequence = 0;
+};
+
+// A caller's request about a job that the receiver owns. Mint requests are
+// never relayed.
+struct RelayRequest {
+  uint64_t number = 0;
+  CallerCall call;
+};
+
+// The number is that of the request. Mint replies are never relayed.
+struct RelayReply {
+  uint64_t number = 0;
+  CallerReplyBody body;
+};
+
+struct ConfigurationRequest {
+  uint64_t known_version = 0;
+};
+
+struct ConfigurationTransfer {
+  uint64_t version = 0;
+  std::string document;
+};
+
+using PeerMessageBody = std::variant<Heartbeat,
+                                     RelayRequest,
+                                     RelayReply,
+                                     ConfigurationRequest,
+                                     ConfigurationTransfer>;
+
+struct PeerMessage {
+  Incarnation from;
+  PeerMessageBody body;
+};
+
+// Sends a message to an instance.
+struct SendToPeer {
+  Address to;
+  PeerMessage message;
+};
+
+// Ends the connection to an instance, so that the next message opens a new one.
+struct ResetPeerConnection {
+  Address to;
+};
+
+using PeerCommand = std::variant<SendToPeer, ResetPeerConnection>;
+
+}  // namespace boragecroft
+
+#endif  // SERVERS_DISPATCHER_PEER_MESSAGES_H_
--- /dev/null
+++ b/servers/model/worker.h
@@ -0,0 +1,40 @@
+// Entry instances and workers as the platform's list names them.
+#ifndef SERVERS_MODEL_WORKER_H_
+#define SERVERS_MODEL_WORKER_H_
+
+#include <string>
+#include <vector>
+
+#include "core/base/address.h"
+#include "servers/model/submission.h"
+
+namespace boragecroft {
+
+// One endpoint: a service on a worker.
+struct PlatformWorker {
+  std::string name;
+  std::string zone;
+  std::string service;
+  Address address;
+  uint32_t slots = 0;
+  Needs capacity;
+  bool leaving = false;
+};
+
+// Another daemon; the address is that of its interface towards instances.
+struct PlatformInstance {
+  std::string name;
+  std::string zone;
+  Address address;
+  bool leaving = false;
+};
+
+// One reading of the platform's list, which lags behind what is true.
+struct InstanceList {
+  std::vector<PlatformInstance> instances;
+  std::vector<PlatformWorker> workers;
+};
+
+}  // namespace boragecroft
+
+#endif  // SERVERS_MODEL_WORKER_H_
