Mint job ids and let each be taken once

An incarnation is the only process that starts the jobs of the ids it minted, so whether an id may start is a question to its own memory: no lease, no store.

Times are the incarnation's record time, wall time read once at start and moved on by the boot-time clock. Wall time as such was ruled out: a step backwards makes an expired id fresh again after its caller was told "not run". Batches are dropped only when their records are durable, so that "no entry" of a forgotten id means that it expired unused.

--- /dev/null
+++ b/tests/servers/identity/id_mint_test.cc
@@ -0,0 +1,149 @@
+#include "servers/identity/id_mint.h"
+
+#include <gtest/gtest.h>
+
+#include <rapidcheck/gtest.h>
+
+#include <set>
+#include <tuple>
+#include <unordered_map>
+
+#include "servers/identity/record_clock.h"
+
+namespace boragecroft {
+namespace {
+
+constexpr milliseconds kTerm = seconds(10);
+constexpr milliseconds kRetention = seconds(30);
+
+auto MakeMint() -> IdMint {
+  return IdMint{.incarnation = {7},
+                .started = Now{.boot = Instant(seconds(5)),
+                               .wall = WallTime(seconds(1000))},
+                .term = kTerm,
+                .retention = kRetention};
+}
+
+auto At(const IdMint& mint, milliseconds after) -> Now {
+  return Now{.boot = mint.started.boot + after,
+             .wall = mint.started.wall + after};
+}
+
+TEST(SequenceRangesTest, NeighboursMergeIntoOneRange) {
+  SequenceRanges ranges;
+  EXPECT_EQ(Insert(ranges, {1, 2}), 2U);
+  EXPECT_EQ(Insert(ranges, {5, 6}), 2U);
+  EXPECT_EQ(Insert(ranges, {2, 4}), 2U);
+  EXPECT_EQ(ranges, (SequenceRanges{{1, 6}}));
+}
+
+RC_GTEST_PROP(SequenceRangesTest,
+              HoldTheSameNumbersAsASet,
+              (const std::vector<std::pair<uint8_t, uint8_t>>& added)) {
+  SequenceRanges ranges;
+  std::set<uint64_t> model;
+  for (const auto& [first, length] : added) {
+    const SequenceRange it{first, first + uint64_t{length} % 8};
+    const auto before = model.size();
+    for (auto n = it.first; n <= it.last; ++n) {
+      model.insert(n);
+    }
+    RC_ASSERT(Insert(ranges, it) == model.size() - before);
+  }
+  RC_ASSERT(CountOf(ranges) == model.size());
+  for (uint64_t n = 0; n < 270; ++n) {
+    RC_ASSERT(Contains(ranges, n) == model.contains(n));
+  }
+  for (size_t i = 1; i < ranges.size(); ++i) {
+    RC_ASSERT(ranges[i].first > ranges[i - 1].last + 1);
+  }
+}
+
+// An id fetched by a partner.
+class FetchedIdTest : public testing::Test {
+ protected:
+  IdMint mint_ = MakeMint();
+  JobId id_ = Mint(mint_, "bank", 10, At(mint_, seconds(1)));
+};
+
+TEST_F(FetchedIdTest, IsFreshUntilItIsUsed) {
+  const auto now = At(mint_, seconds(2));
+  EXPECT_EQ(CheckId(mint_, id_, "bank", now), IdVerdict::kFresh);
+  EXPECT_TRUE(MarkUsed(mint_, id_, now));
+  EXPECT_EQ(CheckId(mint_, id_, "bank", now), IdVerdict::kUsed);
+  EXPECT_FALSE(MarkUsed(mint_, id_, now));
+}
+
+TEST_F(FetchedIdTest, BelongsToItsPartner) {
+  EXPECT_EQ(CheckId(mint_, id_, "utility", At(mint_, seconds(2))),
+            IdVerdict::kWrongPartner);
+}
+
+TEST_F(FetchedIdTest, CannotBeForged) {
+  const auto now = At(mint_, seconds(2));
+  auto other_time = id_;
+  other_time.minted += milliseconds(1);
+  auto beyond = id_;
+  beyond.sequence += 10;
+  auto elsewhere = id_;
+  elsewhere.incarnation.value = 8;
+  for (const auto& it : {other_time, beyond, elsewhere}) {
+    EXPECT_EQ(CheckId(mint_, it, "bank", now), IdVerdict::kNotMinted);
+    EXPECT_FALSE(MarkUsed(mint_, it, now));
+  }
+}
+
+TEST_F(FetchedIdTest, StaysExpiredWhenWallTimeStepsBackOrTheTermIsRaised) {
+  auto late = At(mint_, seconds(1) + kTerm + milliseconds(1));
+  late.wall = mint_.started.wall;
+  mint_.term = kTerm * 2;
+  EXPECT_EQ(CheckId(mint_, id_, "bank", late), IdVerdict::kExpired);
+  EXPECT_FALSE(MarkUsed(mint_, id_, late));
+}
+
+TEST_F(FetchedIdTest, IsForgottenOnlyWhenItsRecordsAreDurable) {
+  const auto late = At(mint_, seconds(1) + kTerm + kRetention + seconds(1));
+  EXPECT_EQ(DropSettled(mint_, id_.minted, late), 0U);
+  EXPECT_EQ(CheckId(mint_, id_, "bank", late), IdVerdict::kExpired);
+  EXPECT_EQ(DropSettled(mint_, RecordTime(mint_.started, late), late), 1U);
+  EXPECT_EQ(CheckId(mint_, id_, "bank", late), IdVerdict::kBelowRetained);
+  EXPECT_FALSE(MarkUsed(mint_, id_, late));
+}
+
+RC_GTEST_PROP(IdMintTest, AnIdIsTakenAtMostOnceInItsLife, ()) {
+  using Steps = std::vector<std::tuple<uint8_t, uint8_t, uint8_t>>;
+  const auto steps = *rc::gen::resize(400, rc::gen::arbitrary<Steps>());
+  auto mint = MakeMint();
+  milliseconds time{};
+  std::vector<JobId> ids;
+  std::unordered_map<JobId, IdVerdict>
+      settled;  // verdicts that must not become fresh
+  for (const auto& [kind, a, b] : steps) {
+    const auto now = At(mint, time);
+    if (kind % 4 == 0) {
+      time += milliseconds(a * 40);
+    } else if (kind % 4 == 1) {
+      auto id = Mint(mint, "bank", 1 + a % 5, now);
+      for (auto n = 0; n < 1 + a % 5; ++n, ++id.sequence) {
+        ids.push_back(id);
+      }
+    } else if (kind % 4 == 2) {
+      DropSettled(mint, RecordTime(mint.started, now), now);
+    } else if (!ids.empty()) {
+      const auto& id = ids[(a * 256 + b) % ids.size()];
+      const auto verdict = CheckId(mint, id, "bank", now);
+      RC_ASSERT(verdict != IdVerdict::kNotMinted);
+      if (verdict != IdVerdict::kFresh) {
+        RC_ASSERT(!MarkUsed(mint, id, now));
+        settled.try_emplace(id, verdict);
+        continue;
+      }
+      RC_ASSERT(!settled.contains(id));
+      RC_ASSERT(MarkUsed(mint, id, now));
+      settled.emplace(id, IdVerdict::kUsed);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace boragecroft
