Record what an instance ran in its ledger

The writer holds one transaction in flight and gathers the next segment meanwhile; an entry is reported as durable only when the table holds it. A lost answer is settled by sending the very same transaction again and reading back the row that it conflicts with. Closing the incarnation's row ends the ledger for good, since every segment is conditional on that row.

A segment's key is the time at which its entries were collected, not that at which it was sent: after an outage of hours a lookup by minted time would otherwise pass it by.

--- /dev/null
+++ b/servers/ledger/ledger_settle.cc
@@ -0,0 +1,244 @@
+// How the ledger writer settles what became of the transaction in flight.
+#include <iterator>
+#include <utility>
+
+#include "servers/ledger/keys.h"
+#include "servers/ledger/ledger_writer.h"
+#include "servers/ledger/segment.h"
+
+namespace boragecroft {
+namespace {
+
+using detail::Flight;
+using detail::FlightKind;
+using detail::FlightState;
+using detail::PendingEntry;
+using detail::PendingQueue;
+
+auto ReadBackKeys(const LedgerWriter& writer, const Flight& flight)
+    -> std::vector<std::string> {
+  const auto key = flight.transaction.puts.front().key;
+  if (flight.kind == FlightKind::kSegment) {
+    return {key, IncarnationKey(writer.row.incarnation)};
+  }
+  return {key};
+}
+
+auto ReportDurable(const PendingEntry& entry,
+                   FlightKind kind,
+                   LedgerEvents& events) -> void {
+  switch (entry.kind) {
+    case PendingEntry::Kind::kAccepted:
+    case PendingEntry::Kind::kWatermark:
+      events.watermarks.push_back(DurableWatermark{
+          .job = entry.job, .started_below = entry.started_below});
+      return;
+    case PendingEntry::Kind::kFinal:
+      (kind == FlightKind::kAddendum ? events.addendum_finals : events.finals)
+          .push_back(entry.job);
+      return;
+    case PendingEntry::Kind::kRefused:
+      return;
+  }
+}
+
+// The transaction in flight is certainly in the table; `version` is that of the
+// row that it put.
+auto SettleApplied(LedgerWriter& writer, uint64_t version, LedgerEvents& events)
+    -> void {
+  const auto flight = std::exchange(writer.flight, std::nullopt);
+  switch (flight->kind) {
+    case FlightKind::kOpen:
+      writer.phase = LedgerPhase::kOpen;
+      writer.row_version = version;
+      events.opened = true;
+      return;
+    case FlightKind::kClose:
+      writer.phase = LedgerPhase::kClosed;
+      events.closed = true;
+      return;
+    case FlightKind::kAddendum:
+      ++writer.next_addendum;
+      break;
+    case FlightKind::kSegment:
+      break;
+  }
+  for (const auto& it : flight->entries) {
+    ReportDurable(it, flight->kind, events);
+  }
+}
+
+// Puts what was in flight back to the front of the queue.
+auto Requeue(LedgerWriter& writer) -> void {
+  auto flight = std::exchange(writer.flight, std::nullopt);
+  if (!flight) {
+    return;
+  }
+  PendingQueue queue;
+  for (auto& it : flight->entries) {
+    queue.entries.push_back(std::move(it));
+  }
+  for (auto& it : writer.pending.entries) {
+    queue.entries.push_back(std::move(it));
+  }
+  for (const auto& it : queue.entries) {
+    queue.bytes += it.text.size();
+  }
+  writer.pending = std::move(queue);
+}
+
+// Another incarnation closed the ledger. What ended is still worth recording;
+// what was accepted or may start is not, since nothing starts any more.
+auto Depose(LedgerWriter& writer, LedgerEvents& events) -> void {
+  Requeue(writer);
+  PendingQueue queue;
+  for (auto& it : writer.pending.entries) {
+    if (it.kind == PendingEntry::Kind::kFinal ||
+        it.kind == PendingEntry::Kind::kRefused) {
+      queue.bytes += it.text.size();
+      queue.entries.push_back(std::move(it));
+    }
+  }
+  writer.pending = std::move(queue);
+  writer.jobs.clear();
+  writer.closing.reset();
+  writer.phase = LedgerPhase::kDeposed;
+  events.deposed = true;
+}
+
+// The operation id in a row of any kind; empty when it has none.
+auto OperationIdOf(const TableRow& row) -> std::string {
+  const auto parsed = ParseJson(row.value);
+  if (!parsed || !parsed.value().is_object()) {
+    return {};
+  }
+  const auto* id = parsed.value().get_object().if_contains("operation_id");
+  return id != nullptr && id->is_string() ? std::string(id->get_string())
+                                          : std::string();
+}
+
+auto IsOurs(const TableRow& row, const Flight& flight) -> bool {
+  return row.version != 0 &&
+         OperationIdOf(row) == flight.transaction.operation_id;
+}
+
+auto Resend(LedgerWriter& writer, Instant at) -> void {
+  writer.flight->state = FlightState::kResend;
+  writer.flight->resend_at = at;
+}
+
+auto VersionOf(const std::vector<TableCheck>& versions, const std::string& key)
+    -> uint64_t {
+  for (const auto& it : versions) {
+    if (it.key == key) {
+      return it.version;
+    }
+  }
+  return 1;  // every row of the ledger's own is first written as absent
+}
+
+auto FindRow(const std::vector<TableRow>& rows, const std::string& key)
+    -> const TableRow* {
+  for (const auto& it : rows) {
+    if (it.key == key) {
+      return &it;
+    }
+  }
+  return nullptr;
+}
+
+// The conflict came of the segment's row or of the incarnation's. A segment
+// that was applied before the closing counts, so its row is judged first.
+auto SettleSegment(LedgerWriter& writer,
+                   const TableRow& segment,
+                   const TableRow& incarnation,
+                   const Now& now,
+                   LedgerEvents& events) -> void {
+  const auto is_closed = incarnation.version != writer.row_version;
+  if (IsOurs(segment, *writer.flight)) {
+    SettleApplied(writer, segment.version, events);
+    if (is_closed) {
+      Depose(writer, events);
+    }
+    return;
+  }
+  if (is_closed || segment.version != 0) {
+    Depose(writer, events);
+    return;
+  }
+  Resend(writer, now.boot + writer.settings.retry_delay);
+}
+
+// A conflict on the only row of the transaction.
+auto SettleSingle(LedgerWriter& writer,
+                  const TableRow& row,
+                  const Now& now,
+                  LedgerEvents& events) -> void {
+  if (IsOurs(row, *writer.flight)) {
+    SettleApplied(writer, row.version, events);
+    return;
+  }
+  if (row.version == writer.flight->transaction.checks.front().version) {
+    Resend(writer, now.boot + writer.settings.retry_delay);
+    return;
+  }
+  if (writer.flight->kind == FlightKind::kAddendum) {
+    ++writer.next_addendum;
+    Requeue(writer);
+    return;
+  }
+  Depose(writer, events);
+}
+
+}  // namespace
+
+auto OnOutcome(LedgerWriter& writer,
+               const TableOutcome& outcome,
+               const Now& now) -> LedgerEvents {
+  LedgerEvents events;
+  if (!writer.flight ||
+      writer.flight->transaction.operation_id != outcome.operation_id) {
+    return events;
+  }
+  const auto key = writer.flight->transaction.puts.front().key;
+  const auto is_reading = writer.flight->state == FlightState::kReadBack;
+  if (outcome.kind == TableOutcomeKind::kApplied) {
+    SettleApplied(writer, VersionOf(outcome.versions, key), events);
+  } else if (outcome.kind == TableOutcomeKind::kConflict && !is_reading) {
+    writer.flight->state = FlightState::kReadBack;
+    events.read_back = ReadBackKeys(writer, *writer.flight);
+  } else if (writer.flight->state == FlightState::kWaiting) {
+    Resend(writer, now.boot + writer.settings.retry_delay);
+  }
+  return events;
+}
+
+auto PendingReadBack(const LedgerWriter& writer) -> std::vector<std::string> {
+  if (!writer.flight || writer.flight->state != FlightState::kReadBack) {
+    return {};
+  }
+  return ReadBackKeys(writer, *writer.flight);
+}
+
+auto OnReadBack(LedgerWriter& writer,
+                const std::vector<TableRow>& rows,
+                const Now& now) -> LedgerEvents {
+  LedgerEvents events;
+  const auto keys = PendingReadBack(writer);
+  if (keys.empty()) {
+    return events;
+  }
+  const auto* first = FindRow(rows, keys.front());
+  const auto* last = FindRow(rows, keys.back());
+  if (first == nullptr || last == nullptr) {
+    return events;
+  }
+  if (writer.flight->kind == FlightKind::kSegment) {
+    SettleSegment(writer, *first, *last, now, events);
+  } else {
+    SettleSingle(writer, *first, now, events);
+  }
+  return events;
+}
+
+}  // namespace boragecroft
--- /dev/null
+++ b/servers/ledger/ledger_writer.cc
@@ -0,0 +1,340 @@
+#include "servers/ledger/ledger_writer.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "servers/identity/record_clock.h"
+#include "servers/ledger/keys.h"
+#include "servers/ledger/segment.h"
+
+namespace boragecroft {
+namespace {
+
+using detail::Flight;
+using detail::FlightKind;
+using detail::FlightState;
+using detail::PendingEntry;
+
+// Room for a segment's own members beside its entries.
+constexpr size_t kSegmentHeadBytes = 256;
+
+auto NextOperationId(LedgerWriter& writer) -> std::string {
+  return ToString(writer.row.incarnation) + "-" +
+         std::to_string(writer.next_operation++);
+}
+
+auto FlightBytes(const LedgerWriter& writer) -> size_t {
+  return writer.flight ? writer.flight->bytes : 0;
+}
+
+auto IsEnded(const LedgerWriter& writer) -> bool {
+  return writer.phase == LedgerPhase::kClosing ||
+         writer.phase == LedgerPhase::kClosed ||
+         writer.phase == LedgerPhase::kDeposed;
+}
+
+auto MakePending(const LedgerWriter& writer,
+                 PendingEntry::Kind kind,
+                 const JobId& job,
+                 const Now& now) -> PendingEntry {
+  const auto collected = RecordTime(writer.started, now);
+  return PendingEntry{.kind = kind,
+                      .job = job,
+                      .collected = collected,
+                      .key_time = std::max(collected, job.minted)};
+}
+
+// Drops results from the oldest records until what waits is within its bound.
+auto DropResults(LedgerWriter& writer) -> void {
+  auto& queue = writer.pending;
+  const auto end = queue.front_position + queue.entries.size();
+  while (IsOverBound(writer) && queue.bare_end < end) {
+    auto& it = queue.entries[queue.bare_end - queue.front_position];
+    if (!it.bare_text.empty()) {
+      queue.bytes -= it.text.size() - it.bare_text.size();
+      it.text = std::exchange(it.bare_text, {});
+      ++writer.dropped_results;
+    }
+    ++queue.bare_end;
+  }
+}
+
+auto Push(LedgerWriter& writer, PendingEntry entry, Urgency urgency)
+    -> AddVerdict {
+  auto& queue = writer.pending;
+  queue.bytes += entry.text.size();
+  queue.entries.push_back(std::move(entry));
+  if (urgency == Urgency::kUrgent) {
+    queue.urgent_end = queue.front_position + queue.entries.size();
+  }
+  DropResults(writer);
+  return IsOverBound(writer) ? AddVerdict::kOverBound : AddVerdict::kAdded;
+}
+
+// Replaces the job's watermark that still waits, so that each segment holds at
+// most one watermark of a job.
+auto RaisePending(LedgerWriter& writer,
+                  uint64_t position,
+                  const WatermarkEntry& entry,
+                  Urgency urgency) -> AddVerdict {
+  auto& queue = writer.pending;
+  auto& it = queue.entries[position - queue.front_position];
+  queue.bytes -= it.text.size();
+  it.text = EntryToJsonText(entry, kLedgerSchema);
+  queue.bytes += it.text.size();
+  it.started_below = entry.started_below;
+  if (urgency == Urgency::kUrgent) {
+    queue.urgent_end = std::max(queue.urgent_end, position + 1);
+  }
+  return IsOverBound(writer) ? AddVerdict::kOverBound : AddVerdict::kAdded;
+}
+
+auto IsDue(const LedgerWriter& writer, const Now& now) -> bool {
+  const auto& queue = writer.pending;
+  if (queue.entries.empty()) {
+    return false;
+  }
+  return queue.urgent_end > queue.front_position ||
+         queue.bytes >= writer.settings.max_segment_bytes ||
+         writer.phase == LedgerPhase::kClosing ||
+         now.boot - writer.last_built >= writer.settings.interval;
+}
+
+// Takes as many entries as one segment holds, at least one.
+auto TakeEntries(LedgerWriter& writer) -> std::vector<PendingEntry> {
+  auto& queue = writer.pending;
+  const auto oldest = queue.entries.front().collected;
+  std::vector<PendingEntry> taken;
+  auto bytes = kSegmentHeadBytes;
+  while (!queue.entries.empty()) {
+    auto& it = queue.entries.front();
+    bytes += it.text.size() + 1;
+    if (!taken.empty() &&
+        (bytes > writer.settings.max_segment_bytes ||
+         it.collected - oldest > writer.settings.segment_span)) {
+      break;
+    }
+    queue.bytes -= it.text.size();
+    it.bare_text.clear();
+    taken.push_back(std::move(it));
+    queue.entries.pop_front();
+    ++queue.front_position;
+  }
+  queue.bare_end = std::max(queue.bare_end, queue.front_position);
+  return taken;
+}
+
+auto NextSegmentKey(LedgerWriter& writer,
+                    const std::vector<PendingEntry>& entries) -> std::string {
+  writer.last_key += milliseconds(1);
+  for (const auto& it : entries) {
+    writer.last_key = std::max(writer.last_key, it.key_time);
+  }
+  return SegmentKey(writer.row.incarnation, writer.last_key);
+}
+
+auto BuildSegment(LedgerWriter& writer) -> Flight {
+  const auto is_addendum = writer.phase == LedgerPhase::kDeposed;
+  Flight flight{
+      .kind = is_addendum ? FlightKind::kAddendum : FlightKind::kSegment,
+      .entries = TakeEntries(writer)};
+  std::vector<std::string> texts;
+  for (auto& it : flight.entries) {
+    flight.bytes += it.text.size();
+    texts.push_back(it.text);
+  }
+  auto& transaction = flight.transaction;
+  transaction.operation_id = NextOperationId(writer);
+  const auto key =
+      is_addendum ? AddendumKey(writer.row.incarnation, writer.next_addendum)
+                  : NextSegmentKey(writer, flight.entries);
+  transaction.checks.push_back(TableCheck{.key = key, .version = 0});
+  if (!is_addendum) {
+    transaction.checks.push_back(
+        TableCheck{.key = IncarnationKey(writer.row.incarnation),
+                   .version = writer.row_version});
+  }
+  transaction.puts.push_back(TablePut{
+      .key = key, .value = JoinSegment(transaction.operation_id, texts)});
+  return flight;
+}
+
+auto BuildClosing(LedgerWriter& writer) -> Flight {
+  writer.closing->operation_id = NextOperationId(writer);
+  const TableRow row{.key = IncarnationKey(writer.row.incarnation),
+                     .version = writer.row_version,
+                     .value = ToJsonText(writer.row)};
+  auto transaction =
+      CloseTransaction(writer.row.incarnation, row, *writer.closing);
+  return Flight{.kind = FlightKind::kClose,
+                .transaction = std::move(transaction.value())};
+}
+
+auto BuildFlight(LedgerWriter& writer, const Now& now)
+    -> std::optional<Flight> {
+  if (writer.phase == LedgerPhase::kOpening) {
+    return Flight{.kind = FlightKind::kOpen,
+                  .transaction = OpenTransaction(writer.row)};
+  }
+  if (IsDue(writer, now)) {
+    writer.last_built = now.boot;
+    return BuildSegment(writer);
+  }
+  if (writer.phase == LedgerPhase::kClosing) {
+    return BuildClosing(writer);
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+auto MakeLedgerWriter(const LedgerSettings& settings,
+                      IncarnationRow row,
+                      const Now& started) -> LedgerWriter {
+  LedgerWriter writer{
+      .settings = settings, .row = std::move(row), .started = started};
+  writer.row.started = started.wall;
+  writer.row.operation_id = NextOperationId(writer);
+  writer.last_built = started.boot;
+  return writer;
+}
+
+auto Add(LedgerWriter& writer,
+         const AcceptedEntry& entry,
+         Urgency urgency,
+         const Now& now) -> AddVerdict {
+  if (IsEnded(writer)) {
+    return AddVerdict::kEnded;
+  }
+  const auto added = writer.jobs.try_emplace(
+      entry.job, detail::RecordedJob{.started_below = entry.started_below});
+  if (!added.second) {
+    return AddVerdict::kRepeated;
+  }
+  auto pending =
+      MakePending(writer, PendingEntry::Kind::kAccepted, entry.job, now);
+  pending.started_below = entry.started_below;
+  pending.text = EntryToJsonText(entry, kLedgerSchema);
+  return Push(writer, std::move(pending), urgency);
+}
+
+auto Add(LedgerWriter& writer,
+         const WatermarkEntry& entry,
+         Urgency urgency,
+         const Now& now) -> AddVerdict {
+  if (IsEnded(writer)) {
+    return AddVerdict::kEnded;
+  }
+  const auto job = writer.jobs.find(entry.job);
+  if (job == writer.jobs.end()) {
+    return AddVerdict::kUnrecordedJob;
+  }
+  if (entry.started_below <= job->second.started_below) {
+    return AddVerdict::kRepeated;
+  }
+  job->second.started_below = entry.started_below;
+  const auto waiting = job->second.pending_watermark;
+  if (waiting && *waiting >= writer.pending.front_position) {
+    return RaisePending(writer, *waiting, entry, urgency);
+  }
+  job->second.pending_watermark =
+      writer.pending.front_position + writer.pending.entries.size();
+  auto pending =
+      MakePending(writer, PendingEntry::Kind::kWatermark, entry.job, now);
+  pending.started_below = entry.started_below;
+  pending.text = EntryToJsonText(entry, kLedgerSchema);
+  return Push(writer, std::move(pending), urgency);
+}
+
+auto Add(LedgerWriter& writer,
+         const FinalEntry& entry,
+         Urgency urgency,
+         const Now& now) -> AddVerdict {
+  if (IsEnded(writer) && writer.phase != LedgerPhase::kDeposed) {
+    return AddVerdict::kEnded;
+  }
+  writer.jobs.erase(entry.job);
+  auto pending =
+      MakePending(writer, PendingEntry::Kind::kFinal, entry.job, now);
+  pending.text = EntryToJsonText(entry, kLedgerSchema);
+  if (!entry.results.empty()) {
+    auto bare = entry;
+    bare.results.clear();
+    bare.results_dropped = true;
+    pending.bare_text = EntryToJsonText(bare, kLedgerSchema);
+  }
+  const auto room = writer.settings.max_segment_bytes;
+  if (pending.text.size() + kSegmentHeadBytes > room &&
+      !pending.bare_text.empty()) {
+    pending.text = std::exchange(pending.bare_text, {});
+    ++writer.dropped_results;
+  }
+  return Push(writer, std::move(pending), urgency);
+}
+
+auto Add(LedgerWriter& writer,
+         const RefusedEntry& entry,
+         Urgency urgency,
+         const Now& now) -> AddVerdict {
+  if (IsEnded(writer) && writer.phase != LedgerPhase::kDeposed) {
+    return AddVerdict::kEnded;
+  }
+  auto pending =
+      MakePending(writer, PendingEntry::Kind::kRefused, JobId{}, now);
+  pending.text = EntryToJsonText(entry, kLedgerSchema);
+  return Push(writer, std::move(pending), urgency);
+}
+
+auto RequestClose(LedgerWriter& writer, std::optional<Incarnation> successor)
+    -> bool {
+  if (writer.phase != LedgerPhase::kOpen || !writer.jobs.empty()) {
+    return false;
+  }
+  writer.phase = LedgerPhase::kClosing;
+  writer.closing = Closing{.closed_by = writer.row.incarnation,
+                           .clean = true,
+                           .successor = successor};
+  return true;
+}
+
+auto NextTransaction(LedgerWriter& writer, const Now& now)
+    -> std::optional<TableTransaction> {
+  if (writer.flight) {
+    auto& flight = *writer.flight;
+    if (flight.state != FlightState::kResend || now.boot < flight.resend_at) {
+      return std::nullopt;
+    }
+    flight.state = FlightState::kWaiting;
+    return flight.transaction;
+  }
+  writer.flight = BuildFlight(writer, now);
+  if (!writer.flight) {
+    return std::nullopt;
+  }
+  writer.flight->first_sent = now.boot;
+  return writer.flight->transaction;
+}
+
+auto IsPlatformSuspect(const LedgerWriter& writer, const Now& now) -> bool {
+  return writer.flight &&
+         now.boot - writer.flight->first_sent > writer.settings.suspect_after;
+}
+
+auto IsOverBound(const LedgerWriter& writer) -> bool {
+  return writer.pending.bytes + FlightBytes(writer) >
+         writer.settings.max_pending_bytes;
+}
+
+auto RecordedThrough(const LedgerWriter& writer, const Now& now) -> WallTime {
+  auto through = RecordTime(writer.started, now);
+  if (!writer.pending.entries.empty()) {
+    through = std::min(through, writer.pending.entries.front().collected);
+  }
+  if (writer.flight && !writer.flight->entries.empty()) {
+    through = std::min(through, writer.flight->entries.front().collected);
+  }
+  return through;
+}
+
+}  // namespace boragecroft
--- /dev/null
+++ b/tests/servers/ledger/ledger_writer_test.cc
@@ -0,0 +1,189 @@
+#include "servers/ledger/ledger_writer.h"
+
+#include <gtest/gtest.h>
+
+#include "servers/ledger/keys.h"
+#include "tests/servers/ledger/fake_table.h"
+
+namespace boragecroft {
+namespace {
+
+constexpr Incarnation kOwner{0xA};
+
+// A writer whose ledger is open.
+class OpenLedgerTest : public testing::Test {
+ protected:
+  OpenLedgerTest() {
+    writer_ = MakeLedgerWriter({.interval = milliseconds(200),
+                                .retry_delay = milliseconds(500),
+                                .suspect_after = seconds(2),
+                                .max_segment_bytes = 4096,
+                                .max_pending_bytes = 20000},
+                               {.incarnation = kOwner}, now_);
+    EXPECT_TRUE(Settle().opened);
+  }
+  auto Pass(milliseconds time) -> void {
+    now_.boot += time;
+    now_.wall += time;
+  }
+  // Sends what is due and reports the outcome.
+  auto Settle(Fate fate = Fate::kAnswered) -> LedgerEvents {
+    const auto transaction = NextTransaction(writer_, now_);
+    return transaction
+               ? OnOutcome(writer_, Send(table_, *transaction, fate), now_)
+               : LedgerEvents{};
+  }
+  auto Accept(uint64_t sequence) -> JobId {
+    const JobId job{.incarnation = kOwner, .sequence = sequence};
+    Add(writer_, AcceptedEntry{.job = job, .tasks = 9}, Urgency::kNormal, now_);
+    return job;
+  }
+  auto Finish(uint64_t sequence, size_t result_bytes) -> AddVerdict {
+    const FinalEntry entry{.job = {.incarnation = kOwner, .sequence = sequence},
+                           .state = JobState::kDone,
+                           .tasks = {{TaskState::kDone, 1}},
+                           .results = {std::string(result_bytes, '7')}};
+    return Add(writer_, entry, Urgency::kNormal, now_);
+  }
+  auto Segments() const -> std::vector<LedgerSegment> {
+    return SegmentsBelow(table_, LedgerPrefix(kOwner));
+  }
+
+  Now now_{.boot = Instant(seconds(9)), .wall = WallTime(seconds(99))};
+  FakeTable table_;
+  LedgerWriter writer_;
+};
+
+TEST_F(OpenLedgerTest, GathersEntriesForAnInterval) {
+  Accept(1);
+  Accept(2);
+  EXPECT_FALSE(NextTransaction(writer_, now_));
+  Pass(milliseconds(200));
+  EXPECT_EQ(Settle().watermarks.size(), 2U);
+  EXPECT_EQ(Segments().size(), 1U);
+}
+
+TEST_F(OpenLedgerTest, WritesAnUrgentEntryAtOnceAndTheNextAfterIt) {
+  const auto job = Accept(1);
+  Add(writer_, WatermarkEntry{job, 2}, Urgency::kUrgent, now_);
+  const auto sent = NextTransaction(writer_, now_);
+  ASSERT_TRUE(sent);
+  Add(writer_, WatermarkEntry{job, 4}, Urgency::kUrgent, now_);
+  Add(writer_, WatermarkEntry{job, 7}, Urgency::kUrgent, now_);
+  EXPECT_FALSE(NextTransaction(writer_, now_));  // one in flight
+  const auto outcome = Send(table_, *sent, Fate::kAnswered);
+  EXPECT_EQ(OnOutcome(writer_, outcome, now_).watermarks.back(),
+            (DurableWatermark{job, 2}));
+  EXPECT_EQ(Settle().watermarks, (std::vector{DurableWatermark{job, 7}}));
+}
+
+TEST_F(OpenLedgerTest, RecordsNoWatermarkOfAJobThatStartedUnrecorded) {
+  const JobId job{.incarnation = kOwner, .sequence = 5};
+  EXPECT_EQ(Add(writer_, WatermarkEntry{job, 1}, Urgency::kUrgent, now_),
+            AddVerdict::kUnrecordedJob);
+  const auto other = Accept(6);
+  Add(writer_, WatermarkEntry{other, 3}, Urgency::kNormal, now_);
+  EXPECT_EQ(Add(writer_, WatermarkEntry{other, 2}, Urgency::kNormal, now_),
+            AddVerdict::kRepeated);
+}
+
+TEST_F(OpenLedgerTest, BoundsEachSegment) {
+  for (uint64_t n = 0; n < 10; ++n) {
+    Finish(n, 1000);
+  }
+  while (!writer_.pending.entries.empty()) {
+    Pass(milliseconds(200));
+    Settle();
+  }
+  EXPECT_EQ(Segments().size(), 4U);  // three entries fit into 4096 bytes
+  for (const auto& it : Segments()) {
+    EXPECT_LE(ToJsonText(it).size(), 4096U);
+  }
+}
+
+TEST_F(OpenLedgerTest, DropsResultsThatFitNoSegment) {
+  Finish(1, 5000);
+  Pass(milliseconds(200));
+  EXPECT_EQ(Settle().finals.size(), 1U);
+  const auto segment = Segments().front();
+  EXPECT_TRUE(std::get<FinalEntry>(segment.entries.front()).results_dropped);
+}
+
+TEST_F(OpenLedgerTest, InALongOutageDropsResultsFirstAndThenSaysSo) {
+  uint64_t n = 0;
+  while (Finish(n, 1000) == AddVerdict::kAdded) {
+    ASSERT_LE(writer_.pending.bytes, 20000U);
+    ++n;
+  }
+  EXPECT_TRUE(IsOverBound(writer_));
+  EXPECT_EQ(writer_.dropped_results, n + 1);
+  for (auto i = 0; i < 100; ++i) {
+    Pass(milliseconds(200));
+    Settle();
+  }
+  size_t finals = 0;
+  for (const auto& it : Segments()) {
+    finals += it.entries.size();
+  }
+  EXPECT_EQ(finals, n + 1);
+  EXPECT_FALSE(IsOverBound(writer_));
+}
+
+TEST_F(OpenLedgerTest, SuspectsThePlatformAfterAWhileWithoutAnswer) {
+  Finish(1, 10);
+  Pass(milliseconds(200));
+  const auto collected = now_.wall - milliseconds(200);
+  Settle(Fate::kLost);
+  EXPECT_FALSE(IsPlatformSuspect(writer_, now_));
+  Pass(seconds(2) + milliseconds(1));
+  EXPECT_TRUE(IsPlatformSuspect(writer_, now_));
+  EXPECT_EQ(RecordedThrough(writer_, now_), collected);
+  Settle();
+  EXPECT_FALSE(IsPlatformSuspect(writer_, now_));
+  EXPECT_EQ(RecordedThrough(writer_, now_), now_.wall);
+}
+
+TEST_F(OpenLedgerTest, SendsTheVerySameTransactionAgain) {
+  Finish(1, 10);
+  Pass(milliseconds(200));
+  const auto first = NextTransaction(writer_, now_);
+  OnOutcome(writer_, Send(table_, *first, Fate::kAnswerLost), now_);
+  Finish(2, 10);
+  Pass(milliseconds(500));
+  const auto second = NextTransaction(writer_, now_);
+  EXPECT_EQ(first, second);
+  const auto outcome = Send(table_, *second, Fate::kAnswered);
+  const auto keys = OnOutcome(writer_, outcome, now_).read_back;
+  ASSERT_EQ(keys.size(), 2U);
+  const auto events =
+      OnReadBack(writer_, {Read(table_, keys[0]), Read(table_, keys[1])}, now_);
+  EXPECT_EQ(events.finals.size(), 1U);
+}
+
+TEST_F(OpenLedgerTest, KeysItsSegmentsByWhenEntriesWereCollected) {
+  Finish(1, 10);
+  Pass(milliseconds(200));
+  Settle(Fate::kRefused);
+  Finish(2, 10);
+  const auto collected = now_.wall;
+  Pass(std::chrono::hours(3));
+  Settle();
+  Settle();
+  EXPECT_EQ(table_.rows.rbegin()->first, SegmentKey(kOwner, collected));
+}
+
+TEST_F(OpenLedgerTest, ClosesOnlyWhenEveryRecordedJobHasEnded) {
+  Accept(1);
+  EXPECT_FALSE(RequestClose(writer_, std::nullopt));
+  Finish(1, 10);
+  EXPECT_TRUE(RequestClose(writer_, Incarnation{0xB}));
+  EXPECT_EQ(Finish(2, 10), AddVerdict::kEnded);
+  EXPECT_EQ(Settle().finals.size(), 1U);
+  EXPECT_TRUE(Settle().closed);
+  const auto row = ParseIncarnationRow(Read(table_, IncarnationKey(kOwner)));
+  EXPECT_TRUE(row.value().clean);
+  EXPECT_EQ(row.value().successor, Incarnation{0xB});
+}
+
+}  // namespace
+}  // namespace boragecroft
