Check declarations whole and decide which version is in force

Found on the way: a faulty schema_version was read as version 1 and gave ten errors more than it deserved; it now reads as the current one.

--- a/servers/configuration/configuration.h
+++ b/servers/configuration/configuration.h
@@ -1,8 +1,11 @@
 // The declarations that operators keep under version control: one document that
-// is in force everywhere.
+// is in force everywhere. Two schema versions stand side by side: version 1
+// (quota on each partner, classes ordered by `priority`) and version 2 (teams
+// with quotas, classes in list order).
 #ifndef SERVERS_CONFIGURATION_CONFIGURATION_H_
 #define SERVERS_CONFIGURATION_CONFIGURATION_H_
 
+#include <boost/json/object.hpp>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -17,6 +20,7 @@
 struct ZoneDeclaration {
   std::string name;
   std::string region;
+  json::object unknown;  // members of a newer writer, kept for a rewrite
 };
 
 struct ServiceDeclaration {
@@ -27,6 +31,7 @@
       30);  // an endpoint that has not answered by then counts as silent
   milliseconds lease = seconds(
       10);  // a worker stops a task whose lease was not renewed for this long
+  json::object unknown;  // members of a newer writer, kept for a rewrite
 };
 
 // A class of urgency. Classes are listed from the most to the least urgent.
@@ -40,17 +45,20 @@
       false;  // the watermark is durable before dispatch goes past it
   bool record_before_answer =
       false;  // the final record is durable before the caller gets its answer
+  json::object unknown;  // members of a newer writer, kept for a rewrite
 };
 
 struct TeamDeclaration {
   std::string name;
   uint32_t quota_tasks = 0;  // tasks of the team in progress over all instances
+  json::object unknown;      // members of a newer writer, kept for a rewrite
 };
 
 struct PartnerDeclaration {
   std::string name;
   std::string team;
-  uint32_t weight = 1;  // share relative to other partners of the same class
+  uint32_t weight = 1;   // share relative to other partners of the same class
+  json::object unknown;  // members of a newer writer, kept for a rewrite
 };
 
 enum class DispatchPolicy : uint8_t { kFair, kRoundRobin, kTwoChoices };
@@ -68,10 +76,20 @@
       10;  // extra starts of repeatable tasks, as a share of first starts
   uint32_t max_ejected_percent =
       30;  // share of workers that may be put aside at once
+  json::object unknown;
 };
 
+// Schema versions that this build writes; a newer one is read as the current
+// one, its unknown members kept.
+constexpr int kOldestSchemaVersion = 1;
+constexpr int kCurrentSchemaVersion = 2;
+
+// Share of the slots that no floor may claim, so that the most urgent work
+// always finds some.
+constexpr uint32_t kFloorReservePercent = 10;
+
 struct Configuration {
-  int schema_version = 2;
+  int schema_version = kCurrentSchemaVersion;
   std::string deployment;
   std::vector<ZoneDeclaration> zones;
   std::vector<ServiceDeclaration> services;
@@ -80,11 +98,26 @@
   std::vector<PartnerDeclaration> partners;
   DispatchPolicy policy = DispatchPolicy::kFair;
   Limits limits;
+  json::object unknown;
 };
 
-// Reads and checks a declarations document; errors name each faulty field.
+// Whether members that this build does not know are errors: strict for what
+// people write, lenient for what other processes pass on.
+enum class Strictness : uint8_t { kStrict, kLenient };
+
+// Reads and checks a declarations document that a person wrote; errors name
+// each faulty field.
 auto ParseConfiguration(std::string_view text)
     -> Result<Configuration, std::vector<FieldError>>;
+// Reads and checks a document of either schema version. A document of version 1
+// comes out in the current shape: a team of its own for each partner, classes
+// in the order of their priority.
+auto ReadConfiguration(const json::value& document, Strictness strictness)
+    -> Result<Configuration, std::vector<FieldError>>;
+// The document in the shape of `schema_version`, with the members that this
+// build does not know. In version 1 each partner states its team's quota.
+auto ToJson(const Configuration& configuration, int schema_version)
+    -> json::value;
 
 // The declaration with this name, or null.
 auto FindService(const Configuration& configuration, std::string_view name)
--- /dev/null
+++ b/servers/configuration/configuration_reader.cc
@@ -0,0 +1,247 @@
+#include <algorithm>
+#include <limits>
+#include <numeric>
+#include <set>
+#include <utility>
+
+#include "servers/configuration/configuration.h"
+#include "servers/configuration/configuration_checks.h"
+
+namespace boragecroft {
+namespace {
+
+constexpr Range kAnyCount{.low = 0, .high = 1'000'000'000};
+constexpr Range kPercent{.low = 0, .high = 100};
+constexpr Range kTimeout{.low = 1, .high = 3'600'000};
+constexpr Range kPriority{.low = 0, .high = 1000};
+
+// What reading collects beside the configuration itself.
+struct ReadContext {
+  Strictness strictness = Strictness::kStrict;
+  int schema_version = kCurrentSchemaVersion;
+  std::vector<int64_t> priorities;  // version 1: one for each class
+  std::vector<uint32_t> quotas;     // version 1: one for each partner
+};
+
+// Reports the members that nothing asked for, or keeps them.
+auto TakeUnknown(ObjectReader& reader, const ReadContext& context)
+    -> json::object {
+  if (context.strictness == Strictness::kStrict) {
+    reader.RejectUnknown();
+    return {};
+  }
+  return reader.Unknown();
+}
+
+auto ReadZone(ObjectReader& reader, const ReadContext& context)
+    -> ZoneDeclaration {
+  ZoneDeclaration out;
+  out.name = reader.Text("name");
+  out.region = reader.Text("region");
+  out.unknown = TakeUnknown(reader, context);
+  return out;
+}
+
+auto ReadService(ObjectReader& reader, const ReadContext& context)
+    -> ServiceDeclaration {
+  ServiceDeclaration out;
+  out.name = reader.Text("name");
+  out.slots_per_worker =
+      reader.WholeOr("slots_per_worker", {1, 1024}, out.slots_per_worker);
+  out.connections_per_worker = reader.WholeOr(
+      "connections_per_worker", {1, 65536}, out.connections_per_worker);
+  out.task_timeout =
+      reader.MillisecondsOr("task_timeout_ms", kTimeout, out.task_timeout);
+  out.lease = reader.MillisecondsOr("lease_ms", kTimeout, out.lease);
+  out.unknown = TakeUnknown(reader, context);
+  return out;
+}
+
+auto ReadClass(ObjectReader& reader, ReadContext& context) -> ClassDeclaration {
+  ClassDeclaration out;
+  out.name = reader.Text("name");
+  if (context.schema_version == 1) {
+    const auto priority = reader.Whole("priority", kPriority);
+    const auto& seen = context.priorities;
+    if (reader.Has("priority") &&
+        std::find(seen.begin(), seen.end(), priority) != seen.end()) {
+      reader.Fail("priority", std::to_string(priority) + " a second time",
+                  "a number that no other class has");
+    }
+    context.priorities.push_back(priority);
+  }
+  out.floor_percent =
+      reader.WholeOr("floor_percent", kPercent, out.floor_percent);
+  out.default_deadline = reader.MillisecondsOr("default_deadline_ms", kTimeout,
+                                               out.default_deadline);
+  out.max_queued_tasks =
+      reader.WholeOr("max_queued_tasks", kAnyCount, out.max_queued_tasks);
+  out.record_before_start = reader.FlagOr("record_before_start", false);
+  out.record_before_answer = reader.FlagOr("record_before_answer", false);
+  out.unknown = TakeUnknown(reader, context);
+  return out;
+}
+
+auto ReadTeam(ObjectReader& reader, const ReadContext& context)
+    -> TeamDeclaration {
+  TeamDeclaration out;
+  out.name = reader.Text("name");
+  out.quota_tasks = reader.Whole("quota_tasks", kAnyCount);
+  out.unknown = TakeUnknown(reader, context);
+  return out;
+}
+
+auto ReadPartner(ObjectReader& reader, ReadContext& context)
+    -> PartnerDeclaration {
+  PartnerDeclaration out;
+  out.name = reader.Text("name");
+  if (context.schema_version == 1) {
+    context.quotas.push_back(reader.Whole("quota_tasks", kAnyCount));
+    out.team = out.name;
+  } else {
+    out.team = reader.Text("team");
+  }
+  out.weight = reader.WholeOr("weight", {1, 1000}, out.weight);
+  out.unknown = TakeUnknown(reader, context);
+  return out;
+}
+
+auto ReadLimits(ObjectReader& reader, const ReadContext& context) -> Limits {
+  Limits out;
+  out.max_tasks_per_job =
+      reader.WholeOr("max_tasks_per_job", {1, 2000}, out.max_tasks_per_job);
+  out.max_body_bytes =
+      reader.WholeOr("max_body_bytes", {1024, 64 << 20}, out.max_body_bytes);
+  out.max_payload_bytes =
+      reader.WholeOr("max_payload_bytes", {1, 8 << 20}, out.max_payload_bytes);
+  out.max_deadline =
+      reader.MillisecondsOr("max_deadline_ms", kTimeout, out.max_deadline);
+  out.id_term = reader.MillisecondsOr("id_term_ms", kTimeout, out.id_term);
+  out.answer_retention = reader.MillisecondsOr("answer_retention_ms", kTimeout,
+                                               out.answer_retention);
+  out.retry_budget_percent = reader.WholeOr("retry_budget_percent", kPercent,
+                                            out.retry_budget_percent);
+  out.max_ejected_percent =
+      reader.WholeOr("max_ejected_percent", kPercent, out.max_ejected_percent);
+  out.unknown = TakeUnknown(reader, context);
+  return out;
+}
+
+auto ReadLists(ObjectReader& reader, ReadContext& context, Configuration& out)
+    -> void {
+  reader.Each("zones", [&](ObjectReader& it) {
+    out.zones.push_back(ReadZone(it, context));
+  });
+  reader.Each("services", [&](ObjectReader& it) {
+    out.services.push_back(ReadService(it, context));
+  });
+  reader.Each("classes", [&](ObjectReader& it) {
+    out.classes.push_back(ReadClass(it, context));
+  });
+  if (context.schema_version != 1) {
+    reader.Each("teams", [&](ObjectReader& it) {
+      out.teams.push_back(ReadTeam(it, context));
+    });
+  }
+  reader.Each("partners", [&](ObjectReader& it) {
+    out.partners.push_back(ReadPartner(it, context));
+  });
+}
+
+// A faulty version reads as the current one, so that the rest is checked too.
+auto ReadSchemaVersion(ObjectReader& reader,
+                       Strictness strictness,
+                       const std::vector<FieldError>& errors) -> int {
+  const auto newest = strictness == Strictness::kStrict
+                          ? kCurrentSchemaVersion
+                          : std::numeric_limits<int>::max();
+  const auto version =
+      reader.Whole("schema_version", {kOldestSchemaVersion, newest});
+  return errors.empty() ? static_cast<int>(version) : kCurrentSchemaVersion;
+}
+
+auto ReadDocument(const json::value& document,
+                  ReadContext& context,
+                  std::vector<FieldError>& errors) -> Configuration {
+  ObjectReader reader(document, "", errors);
+  Configuration out;
+  out.schema_version = ReadSchemaVersion(reader, context.strictness, errors);
+  context.schema_version = out.schema_version;
+  out.deployment = reader.Text("deployment");
+  ReadLists(reader, context, out);
+  out.policy = static_cast<DispatchPolicy>(
+      reader.ChoiceOr("policy", {"fair", "round_robin", "two_choices"}, 0));
+  if (const auto* limits = reader.Raw("limits")) {
+    ObjectReader limits_reader(*limits, "limits", errors);
+    out.limits = ReadLimits(limits_reader, context);
+  }
+  out.unknown = TakeUnknown(reader, context);
+  return out;
+}
+
+auto OrderClassesByPriority(Configuration& configuration,
+                            const std::vector<int64_t>& priorities) -> void {
+  std::vector<size_t> order(priorities.size());
+  std::iota(order.begin(), order.end(), 0);
+  std::sort(order.begin(), order.end(),
+            [&](size_t a, size_t b) { return priorities[a] < priorities[b]; });
+  std::vector<ClassDeclaration> classes;
+  classes.reserve(order.size());
+  for (const auto i : order) {
+    classes.push_back(std::move(configuration.classes[i]));
+  }
+  configuration.classes = std::move(classes);
+}
+
+// Gives a document of version 1 the current shape.
+auto UpgradeFromVersion1(Configuration& configuration,
+                         const ReadContext& context) -> void {
+  OrderClassesByPriority(configuration, context.priorities);
+  for (size_t i = 0; i < configuration.partners.size(); ++i) {
+    TeamDeclaration team;
+    team.name = configuration.partners[i].name;
+    team.quota_tasks = context.quotas[i];
+    configuration.teams.push_back(std::move(team));
+  }
+}
+
+// Runs the checks that span fields; a field that is already at fault is not
+// reported again.
+auto CheckWhole(const Configuration& configuration,
+                const ReadContext& context,
+                std::vector<FieldError>& errors) -> void {
+  std::set<std::string> reported;
+  for (const auto& it : errors) {
+    reported.insert(it.field);
+  }
+  std::vector<FieldError> found;
+  detail::CheckDeclarations(configuration, found);
+  if (context.schema_version != 1) {
+    detail::CheckTeams(configuration, found);
+  }
+  for (auto& it : found) {
+    if (!reported.contains(it.field)) {
+      errors.push_back(std::move(it));
+    }
+  }
+}
+
+}  // namespace
+
+auto ReadConfiguration(const json::value& document, Strictness strictness)
+    -> Result<Configuration, std::vector<FieldError>> {
+  std::vector<FieldError> errors;
+  ReadContext context;
+  context.strictness = strictness;
+  auto configuration = ReadDocument(document, context, errors);
+  CheckWhole(configuration, context, errors);
+  if (!errors.empty()) {
+    return errors;
+  }
+  if (context.schema_version == 1) {
+    UpgradeFromVersion1(configuration, context);
+  }
+  return configuration;
+}
+
+}  // namespace boragecroft
