Add boragecroftctl and the HTTP interface that it calls

Cause: operators need to check, compare and put declarations in force, and to see jobs, the account and instances.

Arguments, calls and printing are apart. Instances are tried in order; a change goes to the next one under the same operation id, so that a lost answer can't make it take effect twice. Exit codes tell refused, unreachable and undecided apart.

--- /dev/null
+++ b/main/ctl/configuration_commands.cc
@@ -0,0 +1,218 @@
+#include <array>
+#include <cstdio>
+#include <fstream>
+#include <iterator>
+#include <limits>
+#include <utility>
+
+#include "core/base/random.h"
+#include "core/json/object_reader.h"
+#include "main/ctl/commands.h"
+#include "main/ctl/table.h"
+#include "servers/configuration/configuration_diff.h"
+#include "servers/configuration/configuration_update.h"
+
+namespace boragecroft::detail {
+namespace {
+
+constexpr Range kVersions{.low = 0,
+                          .high = std::numeric_limits<int64_t>::max()};
+
+// Why a command ends early; the reason is already printed.
+using Ended = ExitCode;
+
+// The declarations that an instance has in force; version 0 and a null document
+// when there are none.
+struct InForce {
+  int64_t version = 0;
+  json::value document;
+};
+
+auto ReadFile(const std::string& name, std::ostream& err)
+    -> Result<std::string, Ended> {
+  std::ifstream file(name, std::ios::binary);
+  if (!file) {
+    err << name << ": cannot be read\n";
+    return Ended::kUsage;
+  }
+  return std::string(std::istreambuf_iterator<char>(file), {});
+}
+
+auto PrintErrors(const std::string& name,
+                 const std::vector<FieldError>& errors,
+                 std::ostream& err) -> void {
+  for (const auto& it : errors) {
+    err << name << ": " << ToString(it) << "\n";
+  }
+}
+
+// Reads and strictly checks the file; the document as it was written.
+auto ReadDocument(const std::string& name, std::ostream& err)
+    -> Result<json::value, Ended> {
+  BOOST_OUTCOME_TRY(const auto text, ReadFile(name, err));
+  const auto configuration = ParseConfiguration(text);
+  if (configuration.has_error()) {
+    PrintErrors(name, configuration.error(), err);
+    return Ended::kRefused;
+  }
+  return ParseJsonWithComments(text).value();
+}
+
+auto Call(const CommandLine& line,
+          const HttpRequest& request,
+          bool changes,
+          std::ostream& err) -> Result<OperatorReply, Ended> {
+  auto reply = CallInstances(line.instances, request, line.timeout);
+  if (reply.has_error()) {
+    err << reply.error().reason << "\n";
+    return ExitCodeOf(reply.error(), changes);
+  }
+  if (const auto code = ExitCodeOf(reply.value()); code != ExitCode::kOk) {
+    PrintRefusal(reply.value(), err);
+    return code;
+  }
+  return std::move(reply.value());
+}
+
+auto GetInForce(const CommandLine& line, int schema_version, std::ostream& err)
+    -> Result<InForce, Ended> {
+  HttpRequest request;
+  request.method = "GET";
+  request.target =
+      "/v1/configuration?schema_version=" + std::to_string(schema_version);
+  BOOST_OUTCOME_TRY(const auto reply, Call(line, request, false, err));
+  std::vector<FieldError> errors;
+  ObjectReader reader(reply.body, "", errors);
+  InForce out;
+  out.version = reader.Whole("version", kVersions);
+  if (const auto* document = reader.Raw("document")) {
+    out.document = *document;
+  }
+  if (!errors.empty()) {
+    PrintErrors("answer of the instance", errors, err);
+    return Ended::kRefused;
+  }
+  return out;
+}
+
+auto DrawOperationId() -> std::string {
+  std::array<char, 33> buf{};
+  std::snprintf(buf.data(), buf.size(), "%016llx%016llx",
+                static_cast<unsigned long long>(DrawEntropy()),
+                static_cast<unsigned long long>(DrawEntropy()));
+  return buf.data();
+}
+
+auto PrintChanges(const CommandLine& line,
+                  const std::vector<ConfigurationChange>& changes,
+                  std::ostream& out) -> void {
+  if (line.output == OutputFormat::kTable) {
+    for (const auto& it : changes) {
+      out << ToString(it) << "\n";
+    }
+    return;
+  }
+  json::array list;
+  for (const auto& it : changes) {
+    list.push_back(json::object{{"kind", ToString(it.kind)},
+                                {"field", it.field},
+                                {"before", it.before},
+                                {"after", it.after}});
+  }
+  out << ToPrettyJson(json::object{{"changes", std::move(list)}});
+}
+
+auto Check(const CommandLine& line, std::ostream& out, std::ostream& err)
+    -> Result<void, Ended> {
+  BOOST_OUTCOME_TRY(ReadDocument(line.operand, err));
+  out << line.operand << ": valid\n";
+  return success();
+}
+
+auto Diff(const CommandLine& line, std::ostream& out, std::ostream& err)
+    -> Result<void, Ended> {
+  BOOST_OUTCOME_TRY(const auto document, ReadDocument(line.operand, err));
+  BOOST_OUTCOME_TRY(const auto in_force,
+                    GetInForce(line, kCurrentSchemaVersion, err));
+  Configuration before;
+  if (in_force.version > 0) {
+    auto read = ReadConfiguration(in_force.document, Strictness::kLenient);
+    if (read.has_error()) {
+      PrintErrors("declarations in force", read.error(), err);
+      return Ended::kRefused;
+    }
+    before = std::move(read.value());
+  }
+  const auto after =
+      PrepareUpdate(in_force.version > 0 ? &before : nullptr, document);
+  if (after.has_error()) {
+    PrintErrors(line.operand, after.error(), err);
+    return Ended::kRefused;
+  }
+  PrintChanges(line, DiffConfigurations(before, after.value()), out);
+  return success();
+}
+
+auto Apply(const CommandLine& line, std::ostream& out, std::ostream& err)
+    -> Result<void, Ended> {
+  BOOST_OUTCOME_TRY(auto document, ReadDocument(line.operand, err));
+  auto expected = line.expected_version;
+  if (!expected) {
+    BOOST_OUTCOME_TRY(const auto in_force,
+                      GetInForce(line, kCurrentSchemaVersion, err));
+    expected = in_force.version;
+  }
+  HttpRequest request;
+  request.method = "PUT";
+  request.target = "/v1/configuration";
+  request.headers = {{"Content-Type", "application/json"}};
+  request.body = ToJsonText(json::object{{"expected_version", *expected},
+                                         {"operation_id", DrawOperationId()},
+                                         {"document", std::move(document)}});
+  BOOST_OUTCOME_TRY(const auto reply, Call(line, request, true, err));
+  out << ToPrettyJson(reply.body);
+  return success();
+}
+
+auto Show(const CommandLine& line, std::ostream& out, std::ostream& err)
+    -> Result<void, Ended> {
+  BOOST_OUTCOME_TRY(auto in_force, GetInForce(line, line.schema_version, err));
+  if (line.output == OutputFormat::kJson) {
+    out << ToPrettyJson(
+        json::object{{"version", in_force.version},
+                     {"document", std::move(in_force.document)}});
+    return success();
+  }
+  // A comment, so that the output can be edited and applied as it stands.
+  out << "// version " << in_force.version << "\n"
+      << ToPrettyJson(in_force.document);
+  return success();
+}
+
+auto ToExitCode(const Result<void, Ended>& result) -> ExitCode {
+  return result.has_error() ? result.error() : ExitCode::kOk;
+}
+
+}  // namespace
+
+auto RunCheck(const CommandLine& line, std::ostream& out, std::ostream& err)
+    -> ExitCode {
+  return ToExitCode(Check(line, out, err));
+}
+
+auto RunDiff(const CommandLine& line, std::ostream& out, std::ostream& err)
+    -> ExitCode {
+  return ToExitCode(Diff(line, out, err));
+}
+
+auto RunApply(const CommandLine& line, std::ostream& out, std::ostream& err)
+    -> ExitCode {
+  return ToExitCode(Apply(line, out, err));
+}
+
+auto RunShow(const CommandLine& line, std::ostream& out, std::ostream& err)
+    -> ExitCode {
+  return ToExitCode(Show(line, out, err));
+}
+
+}  // namespace boragecroft::detail
