Add the fair queue of one service

Cause: one FIFO lets a flood of the most urgent class, or of one partner, take every slot. The queue shares slot time at three levels: classes by urgency with a floor, partners by weighted start-time fair queueing, jobs by earliest deadline with a bounded share for the smallest job. A job is one entry with a cursor; one at its dispatch limit is in no index that is popped. FIFO stays selectable as the baseline.

Ruled out: charging tasks by their declared run time alone.

--- /dev/null
+++ b/servers/queue/task_order.cc
@@ -0,0 +1,202 @@
+#include "servers/queue/task_order.h"
+
+#include <algorithm>
+
+namespace boragecroft::detail {
+namespace {
+
+// Virtual time runs this many units per microsecond at weight 1.
+constexpr int64_t kTagScale = 1024;
+constexpr int64_t kWholeMillis = 1000;
+
+// Of a partner's dispatches, one in so many goes to its smallest job: when all
+// its work fits before the earliest deadline, and when it does not.
+constexpr uint32_t kSmallJobTurnRelaxed = 2;
+constexpr uint32_t kSmallJobTurnTight = 8;
+
+constexpr auto kPaceWindow = milliseconds(500);
+
+auto Rank(Instant instant) -> int64_t {
+  return instant.time_since_epoch().count();
+}
+
+auto MayDispatch(const QueuedJob& job) -> bool {
+  return !job.returned.empty() ||
+         job.cursor < std::min(job.dispatch_limit, job.task_count);
+}
+
+auto ListJob(TaskQueue& queue, QueuedJob& job) -> void {
+  auto& partner = *job.partner;
+  job.listed = true;
+  job.listed_remaining = Remaining(job);
+  partner.by_deadline.insert({Rank(job.deadline), job.arrival, &job});
+  partner.by_remaining.insert({job.listed_remaining, job.arrival, &job});
+  if (queue.order == QueueOrder::kFifo && !partner.held) {
+    queue.by_arrival.insert({0, job.arrival, &job});
+  }
+}
+
+// Under a standing order only the rank by remaining tasks can have changed.
+auto RerankJob(QueuedJob& job) -> void {
+  const auto remaining = static_cast<int64_t>(Remaining(job));
+  if (remaining == job.listed_remaining) {
+    return;
+  }
+  auto& ranks = job.partner->by_remaining;
+  ranks.erase({job.listed_remaining, job.arrival, &job});
+  ranks.insert({remaining, job.arrival, &job});
+  job.listed_remaining = remaining;
+}
+
+// True when the partner's whole backlog, at its present pace, is dispatched
+// before its earliest deadline: then any order keeps every deadline.
+auto FitsBeforeEarliestDeadline(const PartnerQueue& partner, Instant now)
+    -> bool {
+  const auto tasks = static_cast<int64_t>(partner.backlog.tasks);
+  const auto drained = now + partner.pace.mean_interval * tasks;
+  return drained <= partner.by_deadline.begin()->job->deadline;
+}
+
+auto ChooseOfPartner(const PartnerQueue& partner, Instant now) -> QueuedJob* {
+  auto* earliest = partner.by_deadline.begin()->job;
+  auto* smallest = partner.by_remaining.begin()->job;
+  if (smallest->listed_remaining >= earliest->listed_remaining) {
+    return earliest;
+  }
+  const auto turn = FitsBeforeEarliestDeadline(partner, now)
+                        ? kSmallJobTurnRelaxed
+                        : kSmallJobTurnTight;
+  return partner.dispatches_since_small + 1 >= turn ? smallest : earliest;
+}
+
+auto ChooseClass(const TaskQueue& queue) -> const ClassQueue* {
+  const ClassQueue* most_urgent = nullptr;
+  for (const auto& it : queue.classes) {
+    if (it->ready.empty()) {
+      continue;
+    }
+    if (it->floor_millis > 0 && it->due <= queue.slot_time) {
+      return it.get();
+    }
+    most_urgent = most_urgent == nullptr ? it.get() : most_urgent;
+  }
+  return most_urgent;
+}
+
+}  // namespace
+
+auto Remaining(const QueuedJob& job) -> uint32_t {
+  return job.task_count - job.cursor +
+         static_cast<uint32_t>(job.returned.size());
+}
+
+auto RefreshJob(TaskQueue& queue, QueuedJob& job) -> void {
+  const auto may_dispatch = MayDispatch(job);
+  if (may_dispatch && job.listed) {
+    RerankJob(job);
+  } else if (may_dispatch) {
+    ListJob(queue, job);
+  } else {
+    UnlistJob(queue, job);
+  }
+  RefreshPartner(queue, *job.partner);
+}
+
+auto UnlistJob(TaskQueue& queue, QueuedJob& job) -> void {
+  if (!job.listed) {
+    return;
+  }
+  auto& partner = *job.partner;
+  job.listed = false;
+  partner.by_deadline.erase({Rank(job.deadline), job.arrival, &job});
+  partner.by_remaining.erase({job.listed_remaining, job.arrival, &job});
+  queue.by_arrival.erase({0, job.arrival, &job});
+}
+
+auto RefreshPartner(TaskQueue& queue, PartnerQueue& partner) -> void {
+  const auto ready = !partner.held && !partner.by_deadline.empty();
+  if (ready == partner.listed) {
+    return;
+  }
+  partner.listed = ready;
+  auto& owner = *queue.classes[partner.class_index];
+  if (!ready) {
+    owner.ready.erase({partner.tag, partner.arrival, &partner});
+    return;
+  }
+  if (owner.ready.empty()) {
+    owner.due = std::max(owner.due, queue.slot_time);
+  }
+  partner.tag = std::max(partner.tag, owner.virtual_time);
+  owner.ready.insert({partner.tag, partner.arrival, &partner});
+}
+
+auto HoldPartner(TaskQueue& queue, PartnerQueue& partner, bool held) -> void {
+  partner.held = held;
+  if (queue.order == QueueOrder::kFifo) {
+    for (const auto& it : partner.by_deadline) {
+      const JobOrder place{0, it.arrival, it.job};
+      if (held) {
+        queue.by_arrival.erase(place);
+      } else {
+        queue.by_arrival.insert(place);
+      }
+    }
+  }
+  RefreshPartner(queue, partner);
+}
+
+auto ChooseJob(const TaskQueue& queue, Instant now) -> Choice {
+  if (queue.order == QueueOrder::kFifo) {
+    const auto& jobs = queue.by_arrival;
+    return {.job = jobs.empty() ? nullptr : jobs.begin()->job};
+  }
+  const auto* chosen = ChooseClass(queue);
+  if (chosen == nullptr) {
+    return {};
+  }
+  const auto& partner = *chosen->ready.begin()->partner;
+  return {
+      .job = ChooseOfPartner(partner, now),
+      .by_floor = chosen->floor_millis > 0 && chosen->due <= queue.slot_time};
+}
+
+auto NoteDispatch(PartnerQueue& partner, const QueuedJob& job, Instant now)
+    -> void {
+  const auto smallest = partner.by_remaining.begin()->job == &job;
+  partner.dispatches_since_small =
+      smallest ? 0 : partner.dispatches_since_small + 1;
+  auto& pace = partner.pace;
+  if (pace.window_start == Instant()) {
+    pace.window_start = now;
+  }
+  ++pace.dispatches;
+  const auto elapsed = now - pace.window_start;
+  if (elapsed >= kPaceWindow) {
+    pace = {.window_start = now, .mean_interval = elapsed / pace.dispatches};
+  }
+}
+
+auto Charge(TaskQueue& queue,
+            PartnerQueue& partner,
+            microseconds amount,
+            bool by_floor) -> void {
+  auto& owner = *queue.classes[partner.class_index];
+  queue.slot_time += amount;
+  if (by_floor && owner.floor_millis > 0) {
+    owner.due +=
+        microseconds(amount.count() * kWholeMillis / owner.floor_millis);
+  }
+  if (partner.listed) {
+    owner.ready.erase({partner.tag, partner.arrival, &partner});
+  }
+  partner.tag += amount.count() * kTagScale / partner.weight;
+  if (partner.listed) {
+    owner.ready.insert({partner.tag, partner.arrival, &partner});
+  } else if (owner.ready.empty()) {
+    // Work done while nobody waited is held against no one.
+    owner.virtual_time = std::max(owner.virtual_time, partner.tag);
+  }
+}
+
+}  // namespace boragecroft::detail
--- /dev/null
+++ b/servers/queue/task_queue.cc
@@ -0,0 +1,399 @@
+#include "servers/queue/task_queue.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "servers/queue/task_order.h"
+
+namespace boragecroft {
+namespace {
+
+using detail::ClassQueue;
+using detail::PartnerQueue;
+using detail::QueuedJob;
+
+constexpr uint32_t kPercent = 100;
+constexpr uint32_t kMillisPerPercent = 10;
+constexpr uint32_t kMinFloorPercent = 1;
+
+// Bounds of the charge at dispatch, so that a wrong estimate shifts shares
+// little until the task finishes.
+constexpr microseconds kMinCharge = milliseconds(1);
+constexpr microseconds kMaxCharge = seconds(5);
+
+// One finished task moves the expected run time of its job by this part.
+constexpr int kLearningParts = 8;
+
+auto SetFloors(TaskQueue& queue, const std::vector<QueueClass>& classes)
+    -> void {
+  uint32_t total = 0;
+  for (const auto& it : classes) {
+    total += std::max(it.floor_percent, kMinFloorPercent);
+  }
+  const auto scale = std::max(total, kPercent);
+  for (size_t i = 0; i < classes.size(); ++i) {
+    const auto percent = std::max(classes[i].floor_percent, kMinFloorPercent);
+    queue.classes[i]->floor_millis =
+        std::max(percent * kMillisPerPercent * kPercent / scale, 1U);
+  }
+}
+
+// Takes the class of this name out of `old`, or makes a new one.
+auto TakeClass(std::vector<std::unique_ptr<ClassQueue>>& old,
+               const std::string& name) -> std::unique_ptr<ClassQueue> {
+  for (auto& it : old) {
+    if (it != nullptr && it->name == name) {
+      return std::move(it);
+    }
+  }
+  auto made = std::make_unique<ClassQueue>();
+  made->name = name;
+  return made;
+}
+
+auto RenumberClasses(TaskQueue& queue) -> void {
+  for (size_t i = 0; i < queue.classes.size(); ++i) {
+    auto& partners = queue.classes[i]->partners;
+    std::erase_if(partners, [](auto& it) { return it.second.jobs == 0; });
+    for (auto& [name, partner] : partners) {
+      partner.class_index = static_cast<uint32_t>(i);
+    }
+  }
+}
+
+auto SetOrder(TaskQueue& queue, QueueOrder order) -> void {
+  if (queue.order == order) {
+    return;
+  }
+  queue.order = order;
+  queue.by_arrival.clear();
+  for (auto& [id, job] : queue.jobs) {
+    detail::UnlistJob(queue, job);
+    detail::RefreshJob(queue, job);
+  }
+}
+
+auto FindOrAddPartner(TaskQueue& queue, const QueueEntry& entry)
+    -> PartnerQueue& {
+  auto& partners = queue.classes[entry.class_index]->partners;
+  const auto [it, added] = partners.try_emplace(entry.partner);
+  auto& partner = it->second;
+  if (added) {
+    partner.name = entry.partner;
+    partner.class_index = entry.class_index;
+    partner.arrival = queue.next_arrival++;
+    partner.held = queue.held_partners.contains(entry.partner);
+  }
+  return partner;
+}
+
+auto SetWeight(ClassQueue& owner, PartnerQueue& partner, uint32_t weight)
+    -> void {
+  const auto effective = std::max(weight, 1U);
+  if (partner.backlog.tasks > 0) {
+    owner.active_weight += effective;
+    owner.active_weight -= partner.weight;
+  }
+  partner.weight = effective;
+}
+
+// Adds tasks of a job to every backlog that holds them; negative to remove.
+auto AddBacklog(TaskQueue& queue, const QueuedJob& job, int64_t tasks) -> void {
+  auto& partner = *job.partner;
+  auto& owner = *queue.classes[partner.class_index];
+  const auto was_active = partner.backlog.tasks > 0;
+  for (auto* it : {&queue.backlog, &owner.backlog, &partner.backlog}) {
+    it->tasks += static_cast<uint64_t>(tasks);
+    it->cost += job.run_time * tasks;
+  }
+  const auto is_active = partner.backlog.tasks > 0;
+  if (is_active && !was_active) {
+    owner.active_weight += partner.weight;
+    partner.pace = {};
+  } else if (was_active && !is_active) {
+    owner.active_weight -= partner.weight;
+  }
+}
+
+// Learns the run time of a job's tasks while they finish, for what it still has
+// to charge and for its backlog. A straggler moves it by one part only.
+auto LearnRunTime(TaskQueue& queue, QueuedJob& job, microseconds run_time)
+    -> void {
+  const auto known = std::max(job.run_time, kMinCharge);
+  const auto sample = std::clamp(run_time, known / 2, known * 2);
+  const auto learned = known + (sample - known) / kLearningParts;
+  const auto change = learned - job.run_time;
+  const int64_t waiting = detail::Remaining(job);
+  auto& partner = *job.partner;
+  auto& owner = *queue.classes[partner.class_index];
+  for (auto* it : {&queue.backlog, &owner.backlog, &partner.backlog}) {
+    it->cost += change * waiting;
+  }
+  job.run_time = learned;
+}
+
+auto ExpiryOf(QueuedJob& job) -> detail::JobOrder {
+  return {job.deadline.time_since_epoch().count(), job.arrival, &job};
+}
+
+auto ForgetIfEmpty(TaskQueue& queue, QueuedJob& job) -> void {
+  if (detail::Remaining(job) > 0) {
+    return;
+  }
+  queue.by_expiry.erase(ExpiryOf(job));
+  if (job.in_progress == 0) {
+    --job.partner->jobs;
+    queue.jobs.erase(JobId(job.id));
+  }
+}
+
+auto AddInProgress(TaskQueue& queue, QueuedJob& job, int32_t tasks) -> void {
+  auto& partner = *job.partner;
+  for (auto* it : {&job.in_progress, &partner.in_progress,
+                   &queue.classes[partner.class_index]->in_progress}) {
+    *it += static_cast<uint32_t>(tasks);
+  }
+}
+
+auto TakeIndex(QueuedJob& job) -> uint32_t {
+  if (job.returned.empty()) {
+    return job.cursor++;
+  }
+  const auto index = job.returned.back();
+  job.returned.pop_back();
+  return index;
+}
+
+auto Dispatch(TaskQueue& queue, const detail::Choice& choice, Instant now)
+    -> QueuedTask {
+  auto& job = *choice.job;
+  auto& partner = *job.partner;
+  auto& owner = *queue.classes[partner.class_index];
+  detail::NoteDispatch(partner, job, now);
+  QueuedTask task{.job = job.id,
+                  .index = TakeIndex(job),
+                  .class_index = partner.class_index,
+                  .partner = partner.name,
+                  .charge = std::clamp(job.run_time, kMinCharge, kMaxCharge),
+                  .by_floor = choice.by_floor};
+  owner.virtual_time = std::max(owner.virtual_time, partner.tag);
+  detail::Charge(queue, partner, task.charge, task.by_floor);
+  AddBacklog(queue, job, -1);
+  AddInProgress(queue, job, 1);
+  detail::RefreshJob(queue, job);
+  ForgetIfEmpty(queue, job);
+  return task;
+}
+
+auto FindJob(TaskQueue& queue, const JobId& id) -> QueuedJob* {
+  const auto it = queue.jobs.find(id);
+  return it == queue.jobs.end() ? nullptr : &it->second;
+}
+
+auto FindClassQueue(const TaskQueue& queue, uint32_t class_index)
+    -> const ClassQueue* {
+  return class_index < queue.classes.size() ? queue.classes[class_index].get()
+                                            : nullptr;
+}
+
+auto FindPartnerQueue(const TaskQueue& queue,
+                      uint32_t class_index,
+                      std::string_view name) -> const PartnerQueue* {
+  const auto* owner = FindClassQueue(queue, class_index);
+  if (owner == nullptr) {
+    return nullptr;
+  }
+  const auto it = owner->partners.find(name);
+  return it == owner->partners.end() ? nullptr : &it->second;
+}
+
+}  // namespace
+
+auto Configure(TaskQueue& queue,
+               const std::vector<QueueClass>& classes,
+               QueueOrder order) -> void {
+  auto old = std::exchange(queue.classes, {});
+  for (const auto& it : classes) {
+    queue.classes.push_back(TakeClass(old, it.name));
+  }
+  for (auto& it : old) {
+    if (it != nullptr && (it->backlog.tasks > 0 || it->in_progress > 0)) {
+      it->floor_millis = 0;
+      queue.classes.push_back(std::move(it));
+    }
+  }
+  SetFloors(queue, classes);
+  RenumberClasses(queue);
+  SetOrder(queue, order);
+}
+
+auto Enqueue(TaskQueue& queue, const QueueEntry& entry) -> bool {
+  if (entry.task_count == 0 || entry.class_index >= queue.classes.size()) {
+    return false;
+  }
+  const auto [it, added] = queue.jobs.try_emplace(entry.job);
+  if (!added) {
+    return false;
+  }
+  auto& job = it->second;
+  auto& partner = FindOrAddPartner(queue, entry);
+  SetWeight(*queue.classes[entry.class_index], partner, entry.weight);
+  ++partner.jobs;
+  job = {.id = entry.job,
+         .arrival = queue.next_arrival++,
+         .partner = &partner,
+         .task_count = entry.task_count,
+         .dispatch_limit = entry.dispatch_limit,
+         .deadline = entry.deadline,
+         .run_time = entry.run_time};
+  queue.by_expiry.insert(ExpiryOf(job));
+  AddBacklog(queue, job, entry.task_count);
+  detail::RefreshJob(queue, job);
+  return true;
+}
+
+auto PopTask(TaskQueue& queue, Instant now) -> std::optional<QueuedTask> {
+  while (true) {
+    const auto choice = detail::ChooseJob(queue, now);
+    if (choice.job == nullptr) {
+      return std::nullopt;
+    }
+    if (choice.job->deadline > now) {
+      return Dispatch(queue, choice, now);
+    }
+    detail::UnlistJob(queue, *choice.job);
+    detail::RefreshPartner(queue, *choice.job->partner);
+  }
+}
+
+auto Requeue(TaskQueue& queue, const QueuedTask& task) -> bool {
+  auto* job = FindJob(queue, task.job);
+  if (job == nullptr) {
+    return false;
+  }
+  detail::Charge(queue, *job->partner, -task.charge, task.by_floor);
+  AddInProgress(queue, *job, -1);
+  if (job->cancelled) {
+    ForgetIfEmpty(queue, *job);
+    return false;
+  }
+  job->returned.push_back(task.index);
+  queue.by_expiry.insert(ExpiryOf(*job));
+  AddBacklog(queue, *job, 1);
+  detail::RefreshJob(queue, *job);
+  return true;
+}
+
+auto Finish(TaskQueue& queue, const QueuedTask& task, microseconds run_time)
+    -> void {
+  auto* job = FindJob(queue, task.job);
+  if (job == nullptr) {
+    return;
+  }
+  detail::Charge(queue, *job->partner, run_time - task.charge, task.by_floor);
+  AddInProgress(queue, *job, -1);
+  LearnRunTime(queue, *job, run_time);
+  ForgetIfEmpty(queue, *job);
+}
+
+auto Cancel(TaskQueue& queue, const JobId& id) -> uint32_t {
+  auto* job = FindJob(queue, id);
+  if (job == nullptr) {
+    return 0;
+  }
+  const auto removed = detail::Remaining(*job);
+  AddBacklog(queue, *job, -static_cast<int64_t>(removed));
+  job->cancelled = true;
+  job->cursor = job->task_count;
+  job->returned.clear();
+  detail::RefreshJob(queue, *job);
+  ForgetIfEmpty(queue, *job);
+  return removed;
+}
+
+auto SetDispatchLimit(TaskQueue& queue, const JobId& id, uint32_t limit)
+    -> void {
+  auto* job = FindJob(queue, id);
+  if (job == nullptr) {
+    return;
+  }
+  job->dispatch_limit = limit;
+  detail::RefreshJob(queue, *job);
+}
+
+auto SetPartnerHeld(TaskQueue& queue, std::string_view name, bool held)
+    -> void {
+  if (held) {
+    queue.held_partners.emplace(name);
+  } else if (const auto it = queue.held_partners.find(name);
+             it != queue.held_partners.end()) {
+    queue.held_partners.erase(it);
+  }
+  for (auto& owner : queue.classes) {
+    const auto it = owner->partners.find(name);
+    if (it != owner->partners.end()) {
+      detail::HoldPartner(queue, it->second, held);
+    }
+  }
+}
+
+auto ExpireDue(TaskQueue& queue, Instant now) -> std::vector<ExpiredJob> {
+  std::vector<ExpiredJob> expired;
+  while (!queue.by_expiry.empty()) {
+    const auto* job = queue.by_expiry.begin()->job;
+    if (job->deadline > now) {
+      break;
+    }
+    const auto id = job->id;
+    expired.push_back({.job = id, .tasks_removed = Cancel(queue, id)});
+  }
+  return expired;
+}
+
+auto NextExpiry(const TaskQueue& queue) -> std::optional<Instant> {
+  if (queue.by_expiry.empty()) {
+    return std::nullopt;
+  }
+  return queue.by_expiry.begin()->job->deadline;
+}
+
+auto QueuedTasks(const TaskQueue& queue, const JobId& id) -> uint32_t {
+  const auto it = queue.jobs.find(id);
+  return it == queue.jobs.end() ? 0 : detail::Remaining(it->second);
+}
+
+auto ClassBacklog(const TaskQueue& queue, uint32_t class_index) -> Backlog {
+  const auto* owner = FindClassQueue(queue, class_index);
+  return owner == nullptr ? Backlog() : owner->backlog;
+}
+
+auto PartnerBacklog(const TaskQueue& queue,
+                    uint32_t class_index,
+                    std::string_view partner) -> Backlog {
+  const auto* it = FindPartnerQueue(queue, class_index, partner);
+  return it == nullptr ? Backlog() : it->backlog;
+}
+
+auto PartnerWeight(const TaskQueue& queue,
+                   uint32_t class_index,
+                   std::string_view partner) -> uint32_t {
+  const auto* it = FindPartnerQueue(queue, class_index, partner);
+  return it == nullptr ? 0 : it->weight;
+}
+
+auto ActiveWeight(const TaskQueue& queue, uint32_t class_index) -> uint64_t {
+  const auto* owner = FindClassQueue(queue, class_index);
+  return owner == nullptr ? 0 : owner->active_weight;
+}
+
+auto InProgress(const TaskQueue& queue, uint32_t class_index) -> uint32_t {
+  const auto* owner = FindClassQueue(queue, class_index);
+  return owner == nullptr ? 0 : owner->in_progress;
+}
+
+auto FloorMillis(const TaskQueue& queue, uint32_t class_index) -> uint32_t {
+  const auto* owner = FindClassQueue(queue, class_index);
+  return owner == nullptr ? 0 : owner->floor_millis;
+}
+
+}  // namespace boragecroft
