Add admission by deadline from headers alone

Cause: a job that cannot be answered in time should cost one header read, not a body, a place in the queue and half its run. The expected completion is the earlier of bounds that all hold: by the floor of the class or by what more urgent work leaves, and by the partner's weighted share or by draining the whole class. A partner may fill the queue only up to the room that it leaves free, so that the bound of a class refuses the flooder, not the newcomer.

Ruled out: one bound from the whole backlog, which refuses a quiet partner for the backlog of a flooding one.

--- /dev/null
+++ b/servers/admission/admission.cc
@@ -0,0 +1,162 @@
+#include "servers/admission/admission.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace boragecroft {
+namespace {
+
+// Work that is expected to take longer than this is as good as endless; it
+// keeps the arithmetic inside the range of microseconds.
+constexpr double kEndless = 1e15;
+constexpr double kMicrosPerMilli = 1000;
+
+// An instance whose whole backlog is drained within this time, or within this
+// part of the deadline if that is shorter, is nearly idle.
+constexpr microseconds kNearlyIdleBacklog = milliseconds(100);
+constexpr int kNearlyIdleDeadlineParts = 10;
+
+constexpr milliseconds kMinRetryAfter(100);
+constexpr milliseconds kMaxRetryAfter = seconds(60);
+constexpr milliseconds kNoWorkerRetryAfter = seconds(1);
+
+// Slot time that must be given out before the last task of the job is done,
+// and the slots that give it.
+struct Supply {
+  double ahead = 0;  // microseconds of slot time
+  double slots = 0;
+};
+
+auto Count(microseconds duration) -> double {
+  return static_cast<double>(std::max(duration, microseconds::zero()).count());
+}
+
+auto Uncertainty(const AdmissionInput& input) -> double {
+  return std::clamp(input.run_time.uncertainty, 0.0, 1.0);
+}
+
+auto OwnCost(const AdmissionInput& input) -> double {
+  return Count(input.run_time.expected) * input.task_count;
+}
+
+// The time that the job's own tasks take on so many slots.
+auto OwnTime(const AdmissionInput& input, double slots) -> double {
+  return slots <= 0
+             ? kEndless
+             : std::max(Count(input.run_time.expected), OwnCost(input) / slots);
+}
+
+// The job on an empty instance, its tasks as short as they may turn out to be.
+auto ShortestCompletion(const AdmissionInput& input) -> double {
+  return OwnTime(input, input.slots) * (1 - Uncertainty(input));
+}
+
+// The backlog is taken as long as it may turn out to be.
+auto CompletionWith(const AdmissionInput& input, const Supply& supply)
+    -> double {
+  if (supply.slots <= 0) {
+    return kEndless;
+  }
+  const auto wait = supply.ahead * (1 + Uncertainty(input)) / supply.slots;
+  return std::min(wait + OwnTime(input, supply.slots), kEndless);
+}
+
+// The earlier of two bounds that both hold: the partner gets its weighted share
+// while others wait, and the class is drained whoever waits.
+auto CompletionInClass(const AdmissionInput& input,
+                       double ahead_of_class,
+                       double slots) -> double {
+  const auto weight = static_cast<double>(std::max(input.partner_weight, 1U));
+  const auto share =
+      weight / (weight + static_cast<double>(input.other_weight));
+  const Supply by_weight{
+      .ahead = ahead_of_class * share + Count(input.partner_cost),
+      .slots = slots * share};
+  const Supply by_drain{.ahead = ahead_of_class + Count(input.class_cost),
+                        .slots = slots};
+  return std::min(CompletionWith(input, by_weight),
+                  CompletionWith(input, by_drain));
+}
+
+// The earlier of two bounds: the class has its floor at once, and what more
+// urgent work leaves once the urgent backlog is drained.
+auto ExpectedCompletion(const AdmissionInput& input) -> double {
+  const auto slots = static_cast<double>(input.slots);
+  const auto left = 1 - std::max(input.less_urgent_floors, 0.0) -
+                    std::max(input.more_urgent_load, 0.0);
+  const auto by_floor = CompletionInClass(
+      input, 0, slots * std::clamp(input.class_floor, 0., 1.));
+  const auto by_rest = CompletionInClass(input, Count(input.more_urgent_cost),
+                                         slots * std::max(left, 0.0));
+  return std::min(by_floor, by_rest);
+}
+
+auto NearlyIdle(const AdmissionInput& input) -> bool {
+  const auto limit = std::min<microseconds>(
+      kNearlyIdleBacklog, input.deadline / kNearlyIdleDeadlineParts);
+  return Count(input.total_cost) <= Count(limit) * input.slots;
+}
+
+auto ToMicroseconds(double micros) -> microseconds {
+  return microseconds(static_cast<int64_t>(std::min(micros, kEndless)));
+}
+
+auto RetryAfter(double micros) -> milliseconds {
+  const auto wait = milliseconds(static_cast<int64_t>(
+      std::ceil(std::min(micros, kEndless) / kMicrosPerMilli)));
+  return std::clamp(wait, kMinRetryAfter, kMaxRetryAfter);
+}
+
+// A partner may fill the queue up to the room that it leaves free, so that a
+// newcomer always finds some.
+auto QueueHasRoom(const AdmissionInput& input) -> bool {
+  const auto tasks = uint64_t{input.task_count};
+  const auto bound = uint64_t{input.max_queued_tasks};
+  if (input.class_queued_tasks + tasks > bound) {
+    return false;
+  }
+  const auto room = bound - input.class_queued_tasks;
+  return input.partner_queued_tasks + tasks <= room;
+}
+
+auto RefuseFullQueue(const AdmissionInput& input, double completion)
+    -> AdmissionVerdict {
+  AdmissionVerdict verdict{.refusal = Refusal::kQueueFull,
+                           .expected_completion = ToMicroseconds(completion)};
+  if (input.task_count <= input.max_queued_tasks) {
+    verdict.retry_after =
+        RetryAfter(completion * input.task_count /
+                   static_cast<double>(std::max<uint64_t>(
+                       input.class_queued_tasks + input.task_count, 1)));
+  }
+  return verdict;
+}
+
+}  // namespace
+
+auto Admit(const AdmissionInput& input) -> AdmissionVerdict {
+  if (input.slots == 0) {
+    return {.refusal = Refusal::kOverloaded,
+            .retry_after = kNoWorkerRetryAfter,
+            .expected_completion = ToMicroseconds(kEndless)};
+  }
+  const auto deadline = Count(input.deadline);
+  const auto shortest = ShortestCompletion(input);
+  if (shortest > deadline) {
+    return {.refusal = Refusal::kDeadline,
+            .expected_completion = ToMicroseconds(shortest)};
+  }
+  const auto completion = ExpectedCompletion(input);
+  if (!QueueHasRoom(input)) {
+    return RefuseFullQueue(input, completion);
+  }
+  if (completion > deadline && !NearlyIdle(input)) {
+    return {.refusal = Refusal::kDeadline,
+            .retry_after = RetryAfter(completion - deadline),
+            .expected_completion = ToMicroseconds(completion)};
+  }
+  return {.expected_completion = ToMicroseconds(completion)};
+}
+
+}  // namespace boragecroft
