Measure what other partners and classes take before admitting

Change: admission gets the slot time that other partners and more urgent classes took over the last window of a second, measured from the queue.

--- a/servers/admission/admission.cc
+++ b/servers/admission/admission.cc
@@ -62,33 +62,33 @@
   return std::min(wait + OwnTime(input, supply.slots), kEndless);
 }
 
-// The earlier of two bounds that both hold: the partner gets its weighted share
-// while others wait, and the class is drained whoever waits.
+// The earlier of two bounds, when the class has `class_share` of the slots: the
+// partner gets its weighted part of it, or what its peers leave once all that
+// waits is drained.
 auto CompletionInClass(const AdmissionInput& input,
                        double ahead_of_class,
-                       double slots) -> double {
+                       double class_share) -> double {
   const auto weight = static_cast<double>(std::max(input.partner_weight, 1U));
-  const auto share =
-      weight / (weight + static_cast<double>(input.other_weight));
+  const auto part = weight / (weight + static_cast<double>(input.other_weight));
+  const auto spare = class_share - std::max(input.other_partners_load, 0.0);
   const Supply by_weight{
-      .ahead = ahead_of_class * share + Count(input.partner_cost),
-      .slots = slots * share};
+      .ahead = ahead_of_class * part + Count(input.partner_cost),
+      .slots = input.slots * class_share * part};
   const Supply by_drain{.ahead = ahead_of_class + Count(input.class_cost),
-                        .slots = slots};
+                        .slots = input.slots * spare};
   return std::min(CompletionWith(input, by_weight),
                   CompletionWith(input, by_drain));
 }
 
-// The earlier of two bounds: the class has its floor at once, and what more
-// urgent work leaves once the urgent backlog is drained.
+// The earlier of two bounds: the class has its floor at once, and what other
+// classes leave once the more urgent backlog is drained.
 auto ExpectedCompletion(const AdmissionInput& input) -> double {
-  const auto slots = static_cast<double>(input.slots);
   const auto left = 1 - std::max(input.less_urgent_floors, 0.0) -
                     std::max(input.more_urgent_load, 0.0);
-  const auto by_floor = CompletionInClass(
-      input, 0, slots * std::clamp(input.class_floor, 0., 1.));
-  const auto by_rest = CompletionInClass(input, Count(input.more_urgent_cost),
-                                         slots * std::max(left, 0.0));
+  const auto by_floor =
+      CompletionInClass(input, 0, std::clamp(input.class_floor, 0.0, 1.0));
+  const auto by_rest =
+      CompletionInClass(input, Count(input.more_urgent_cost), left);
   return std::min(by_floor, by_rest);
 }
 
--- a/servers/admission/admission.h
+++ b/servers/admission/admission.h
@@ -43,8 +43,10 @@
   microseconds partner_cost{};
 
   uint32_t partner_weight = 1;
-  // The sum of the weights of the other partners whose tasks wait in the class.
+  // The sum of the weights of the other partners of the class whose tasks wait
+  // or were dispatched of late, and the share of the slots that those took.
   uint64_t other_weight = 0;
+  double other_partners_load = 0;
 
   uint64_t class_queued_tasks = 0;
   uint64_t partner_queued_tasks = 0;
--- a/servers/admission/queue_state.cc
+++ b/servers/admission/queue_state.cc
@@ -1,17 +1,84 @@
 #include "servers/admission/queue_state.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace boragecroft {
 namespace {
 
 constexpr double kWholeMillis = 1000;
+constexpr auto kLoadWindow = seconds(1);
 
 auto Floor(const TaskQueue& queue, uint32_t class_index) -> double {
   return FloorMillis(queue, class_index) / kWholeMillis;
 }
 
+auto LoadOf(const SlotLoads& loads, uint32_t class_index) -> ClassLoad {
+  return class_index < loads.classes.size() ? loads.classes[class_index]
+                                            : ClassLoad();
+}
+
+// Closes a window in which `available` slot time could be given out.
+auto MeasureClass(const TaskQueue& queue,
+                  uint32_t class_index,
+                  double available,
+                  ClassLoad& load) -> void {
+  ClassLoad next;
+  for (const auto& it : UseOfPartners(queue, class_index)) {
+    const auto before = load.partners.find(it.partner);
+    // A partner seen for the first time took all its slot time just now.
+    const auto start = before == load.partners.end() ? microseconds::zero()
+                                                     : before->second.slot_time;
+    const auto taken = static_cast<double>((it.slot_time - start).count());
+    const auto share = std::clamp(taken / available, 0.0, 1.0);
+    next.partners[it.partner] = {it.weight, it.slot_time, share};
+    next.share += share;
+    next.active_weight += share > 0 ? it.weight : 0;
+  }
+  load = std::move(next);
+}
+
+// Sets what the other partners of the class take and weigh.
+auto DescribeOthers(const TaskQueue& queue,
+                    const ClassLoad& load,
+                    uint32_t class_index,
+                    std::string_view partner,
+                    AdmissionInput& input) -> void {
+  auto waiting = ActiveWeight(queue, class_index);
+  if (input.partner_queued_tasks > 0) {
+    waiting -= PartnerWeight(queue, class_index, partner);
+  }
+  auto recent = load.active_weight;
+  input.other_partners_load = load.share;
+  const auto own = load.partners.find(partner);
+  if (own != load.partners.end()) {
+    input.other_partners_load -= own->second.share;
+    recent -= own->second.share > 0 ? own->second.weight : 0;
+  }
+  input.other_weight = std::max(waiting, recent);
+}
+
 }  // namespace
 
+auto MeasureLoads(SlotLoads& loads,
+                  const TaskQueue& queue,
+                  uint32_t slots,
+                  Instant now) -> void {
+  const auto elapsed = now - loads.window_start;
+  if (elapsed < kLoadWindow) {
+    return;
+  }
+  const auto available =
+      std::max(static_cast<double>(elapsed.count()) * slots, 1.0);
+  loads.classes.resize(queue.classes.size());
+  for (uint32_t i = 0; i < loads.classes.size(); ++i) {
+    MeasureClass(queue, i, available, loads.classes[i]);
+  }
+  loads.window_start = now;
+}
+
 auto DescribeQueue(const TaskQueue& queue,
+                   const SlotLoads& loads,
                    uint32_t class_index,
                    std::string_view partner,
                    AdmissionInput& input) -> void {
@@ -21,18 +88,18 @@
   input.less_urgent_floors = 0;
   input.total_cost = queue.backlog.cost;
   input.more_urgent_cost = microseconds::zero();
+  input.more_urgent_load = 0;
   input.class_cost = own_class.cost;
   input.class_queued_tasks = own_class.tasks;
   input.partner_cost = own.cost;
   input.partner_queued_tasks = own.tasks;
-  input.other_weight = ActiveWeight(queue, class_index);
-  if (own.tasks > 0) {
-    input.other_weight -= PartnerWeight(queue, class_index, partner);
-  }
+  DescribeOthers(queue, LoadOf(loads, class_index), class_index, partner,
+                 input);
   for (uint32_t i = 0; i < queue.classes.size(); ++i) {
     const auto backlog = ClassBacklog(queue, i);
     if (i < class_index) {
       input.more_urgent_cost += backlog.cost;
+      input.more_urgent_load += LoadOf(loads, i).share;
     } else if (i > class_index && backlog.tasks > 0) {
       input.less_urgent_floors += Floor(queue, i);
     }
--- a/servers/queue/task_order.cc
+++ b/servers/queue/task_order.cc
@@ -183,6 +183,7 @@
             bool by_floor) -> void {
   auto& owner = *queue.classes[partner.class_index];
   queue.slot_time += amount;
+  partner.slot_time += amount;
   if (by_floor && owner.floor_millis > 0) {
     owner.due +=
         microseconds(amount.count() * kWholeMillis / owner.floor_millis);
--- a/servers/queue/task_queue.cc
+++ b/servers/queue/task_queue.cc
@@ -391,6 +391,17 @@
   return owner == nullptr ? 0 : owner->in_progress;
 }
 
+auto UseOfPartners(const TaskQueue& queue, uint32_t class_index)
+    -> std::vector<PartnerUse> {
+  std::vector<PartnerUse> uses;
+  if (const auto* owner = FindClassQueue(queue, class_index)) {
+    for (const auto& [name, it] : owner->partners) {
+      uses.push_back({name, it.weight, it.slot_time});
+    }
+  }
+  return uses;
+}
+
 auto FloorMillis(const TaskQueue& queue, uint32_t class_index) -> uint32_t {
   const auto* owner = FindClassQueue(queue, class_index);
   return owner == nullptr ? 0 : owner->floor_millis;
--- a/servers/queue/task_queue.h
+++ b/servers/queue/task_queue.h
@@ -136,6 +136,7 @@
   DispatchPace pace;
   Backlog backlog;
   uint32_t in_progress = 0;
+  microseconds slot_time{};  // given to the partner so far
   uint32_t jobs = 0;
   std::set<JobOrder> by_deadline;   // jobs that may be dispatched
   std::set<JobOrder> by_remaining;  // the same jobs, fewest tasks first
@@ -230,6 +231,17 @@
 // The tasks of the class that occupy a slot.
 auto InProgress(const TaskQueue& queue, uint32_t class_index) -> uint32_t;
 
+// The slot time given to a partner so far.
+struct PartnerUse {
+  std::string partner;
+  uint32_t weight = 0;
+  microseconds slot_time{};
+};
+
+// The partners known in a class. O(partners).
+auto UseOfPartners(const TaskQueue& queue, uint32_t class_index)
+    -> std::vector<PartnerUse>;
+
 // The floor of the class in thousandths of the slots, after normalisation.
 auto FloorMillis(const TaskQueue& queue, uint32_t class_index) -> uint32_t;
 
--- a/tests/servers/admission/admission_test.cc
+++ b/tests/servers/admission/admission_test.cc
@@ -106,7 +106,7 @@
                          .run_time = {.expected = kRunTime},
                          .slots = 43,
                          .max_queued_tasks = 20000};
-    DescribeQueue(queue_, 1, partner, input);
+    DescribeQueue(queue_, {}, 1, partner, input);
     return Admit(input);
   }
 
