Decide who may use which worker, and when a task starts again

Four modules of pure decisions. servers/fleet takes the platform's list, shares the slots of a zone out among its instances and picks the worker of a task; servers/health tells bad workers from bad jobs; servers/estimates learns run times and speeds; servers/retry is the single gate for every start.

--- /dev/null
+++ b/servers/estimates/estimates.cc
@@ -0,0 +1,131 @@
+#include "servers/estimates/estimates.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace boragecroft {
+
+namespace {
+
+constexpr auto kDefaultRunTime = milliseconds(500);
+constexpr auto kShortestRunTimeUs = 100.0;
+constexpr auto kBucketsPerOctave = 4.0;
+constexpr auto kHighQuantile = 0.95;
+// With few observations the high quantile is taken as this multiple of the
+// mean.
+constexpr auto kFewObservationsSpread = 4.0;
+// The histogram halves its counts at this total, the means weigh a new value by
+// at least 1 / kMeanMemory.
+constexpr auto kHistogramMemory = 512.0F;
+constexpr uint32_t kMeanMemory = 64;
+// One outlier moves a worker's speed by no more than this factor, and no worker
+// counts as faster or slower than this.
+constexpr auto kMaxSpeedRatio = 8.0;
+
+auto BucketOf(double run_time_us) -> size_t {
+  const auto octaves =
+      std::log2(std::max(run_time_us, kShortestRunTimeUs) / kShortestRunTimeUs);
+  return std::min(static_cast<size_t>(octaves * kBucketsPerOctave),
+                  RunTimeHistogram::kBuckets - 1);
+}
+
+auto BucketUpperEdge(size_t bucket) -> double {
+  return kShortestRunTimeUs *
+         std::exp2(static_cast<double>(bucket + 1) / kBucketsPerOctave);
+}
+
+auto Add(RunTimeHistogram& histogram, double run_time_us) -> void {
+  histogram.counts[BucketOf(run_time_us)] += 1;
+  histogram.total += 1;
+  if (histogram.total < kHistogramMemory) {
+    return;
+  }
+  for (auto& it : histogram.counts) {
+    it /= 2;
+  }
+  histogram.total /= 2;
+}
+
+auto HighQuantile(const RunTimeHistogram& histogram) -> double {
+  auto above = histogram.total * (1 - kHighQuantile);
+  for (auto n = RunTimeHistogram::kBuckets; n-- > 0;) {
+    above -= histogram.counts[n];
+    if (above < 0) {
+      return BucketUpperEdge(n);
+    }
+  }
+  return BucketUpperEdge(0);
+}
+
+// The weight of the newest of `observations` values in an exponentially
+// weighted mean that starts as the plain mean.
+auto NewestWeight(uint32_t observations) -> double {
+  return 1.0 / std::min(observations, kMeanMemory);
+}
+
+auto Saturate(uint32_t observations) -> uint32_t {
+  return std::min(observations, kMeanMemory) + 1;
+}
+
+auto ToMicroseconds(double us) -> microseconds {
+  return microseconds(static_cast<int64_t>(us));
+}
+
+}  // namespace
+
+auto RecordRunTime(Estimates& estimates,
+                   const WorkKind& kind,
+                   WorkerId worker,
+                   microseconds run_time) -> void {
+  const auto us =
+      std::max(static_cast<double>(run_time.count()), kShortestRunTimeUs);
+  auto& history = estimates.kinds.Touch(kind);
+  // Compared before this value joins the mean, so that a worker is not judged
+  // against itself alone.
+  if (history.observations >= kHintObservations) {
+    auto& speed = estimates.workers.Touch(worker);
+    const auto ratio =
+        std::clamp(us / history.mean_us, 1 / kMaxSpeedRatio, kMaxSpeedRatio);
+    speed.observations = Saturate(speed.observations);
+    speed.log_slowness += NewestWeight(speed.observations) *
+                          (std::log(ratio) - speed.log_slowness);
+  }
+  history.observations = Saturate(history.observations);
+  history.mean_us +=
+      NewestWeight(history.observations) * (us - history.mean_us);
+  Add(history.histogram, us);
+}
+
+auto EstimateRunTime(const Estimates& estimates,
+                     const WorkKind& kind,
+                     milliseconds hint) -> RunTimeEstimate {
+  const auto prior = hint > milliseconds(0) ? hint : kDefaultRunTime;
+  const auto prior_us = static_cast<double>(microseconds(prior).count());
+  const auto* history = estimates.kinds.Find(kind);
+  if (history == nullptr) {
+    return {prior, ToMicroseconds(prior_us * kFewObservationsSpread), 0};
+  }
+  const auto n = std::min(history->observations, kHintObservations);
+  const auto learned = static_cast<double>(n) / kHintObservations;
+  // Blended as logarithms: a hint that is off by a factor of a thousand does
+  // not drown the first observations.
+  const auto mean_us = std::exp(learned * std::log(history->mean_us) +
+                                (1 - learned) * std::log(prior_us));
+  auto high_us = HighQuantile(history->histogram);
+  if (history->observations < kHedgeObservations) {
+    high_us = std::max(high_us, mean_us * kFewObservationsSpread);
+  }
+  return {ToMicroseconds(mean_us), ToMicroseconds(high_us),
+          history->observations};
+}
+
+auto WorkerSpeed(const Estimates& estimates, WorkerId worker) -> double {
+  const auto* history = estimates.workers.Find(worker);
+  // A few values of a worker say more about the tasks than about the worker.
+  if (history == nullptr || history->observations < kHintObservations) {
+    return 1;
+  }
+  return std::exp(-history->log_slowness);
+}
+
+}  // namespace boragecroft
--- /dev/null
+++ b/servers/fleet/allotment.cc
@@ -0,0 +1,237 @@
+#include "servers/fleet/allotment.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+#include "core/base/random.h"
+
+namespace boragecroft {
+
+namespace {
+
+constexpr auto kDemandSmoothing = std::chrono::duration<double>(1);
+// The report changes when the smoothed demand is off by more than both.
+constexpr auto kReportTolerance = 0.2;
+constexpr auto kReportToleranceSlots = 2.0;
+constexpr auto kEvenShare = 0.1;
+
+// A slot that an instance could own, with the rendezvous score of the two.
+struct Candidate {
+  uint64_t score = 0;
+  uint32_t worker = 0;
+  uint32_t slot = 0;
+  uint32_t instance = 0;
+};
+
+auto HashName(const std::string& name) -> uint64_t {
+  return XXH3_64bits(name.data(), name.size());
+}
+
+auto CountSlots(const std::vector<SharedWorker>& workers) -> uint32_t {
+  return std::accumulate(
+      workers.begin(), workers.end(), 0U,
+      [](uint32_t sum, const SharedWorker& it) { return sum + it.slots; });
+}
+
+// Slots that one instance can use: its connections may be fewer.
+auto CountReachable(const std::vector<SharedWorker>& workers, size_t instances)
+    -> uint32_t {
+  auto sum = 0U;
+  for (const auto& it : workers) {
+    sum += std::min(it.slots, ConnectionShare(it.connections, instances));
+  }
+  return sum;
+}
+
+// Whole numbers with the sum `total` next to `shares`, by the largest
+// remainder; equal remainders go by name.
+auto RoundShares(const std::vector<double>& shares,
+                 const std::vector<InstanceDemand>& demands,
+                 uint32_t total) -> std::vector<uint32_t> {
+  std::vector<uint32_t> result(shares.size());
+  std::vector<size_t> order(shares.size());
+  std::iota(order.begin(), order.end(), 0U);
+  for (size_t n = 0; n < shares.size(); ++n) {
+    result[n] = static_cast<uint32_t>(shares[n]);
+  }
+  std::sort(order.begin(), order.end(), [&](size_t a, size_t b) {
+    const auto rest_a = shares[a] - std::floor(shares[a]);
+    const auto rest_b = shares[b] - std::floor(shares[b]);
+    return rest_a != rest_b ? rest_a > rest_b
+                            : demands[a].instance < demands[b].instance;
+  });
+  auto left = total - std::accumulate(result.begin(), result.end(), 0U);
+  for (size_t n = 0; left > 0; n = (n + 1) % order.size(), --left) {
+    ++result[order[n]];
+  }
+  return result;
+}
+
+// Shares proportional to `weights` that sum up to `total`, none above `limit`
+// as long as that is possible.
+auto ShareBelow(const std::vector<double>& weights, double total, double limit)
+    -> std::vector<double> {
+  std::vector<double> result(weights.size(), 0);
+  std::vector<bool> is_full(weights.size(), false);
+  auto left = total;
+  for (auto changed = true; changed;) {
+    changed = false;
+    auto sum = 0.0;
+    for (size_t n = 0; n < weights.size(); ++n) {
+      sum += is_full[n] ? 0 : weights[n];
+    }
+    const auto shared = left;
+    for (size_t n = 0; n < weights.size(); ++n) {
+      if (is_full[n]) {
+        continue;
+      }
+      result[n] = shared * weights[n] / sum;
+      if (result[n] > limit) {
+        result[n] = limit;
+        is_full[n] = true;
+        left -= limit;
+        changed = true;
+      }
+    }
+  }
+  return result;
+}
+
+auto ListCandidates(const std::vector<SharedWorker>& workers,
+                    const std::vector<InstanceDemand>& demands)
+    -> std::vector<Candidate> {
+  std::vector<uint64_t> hashes;
+  hashes.reserve(demands.size());
+  for (const auto& it : demands) {
+    hashes.push_back(HashName(it.instance));
+  }
+  std::vector<Candidate> result;
+  for (uint32_t w = 0; w < workers.size(); ++w) {
+    const auto worker_hash = HashName(workers[w].name);
+    for (uint32_t slot = 0; slot < workers[w].slots; ++slot) {
+      const auto slot_hash = MixHash(worker_hash, slot);
+      for (uint32_t n = 0; n < hashes.size(); ++n) {
+        result.push_back({MixHash(slot_hash, hashes[n]), w, slot, n});
+      }
+    }
+  }
+  std::sort(
+      result.begin(), result.end(),
+      [](const Candidate& a, const Candidate& b) { return a.score > b.score; });
+  return result;
+}
+
+}  // namespace
+
+auto UpdateDemand(DemandMeter& meter, uint32_t slots, Now now) -> uint32_t {
+  const std::chrono::duration<double> age = now.boot - meter.updated;
+  meter.updated = now.boot;
+  const auto kept = std::exp(-age / kDemandSmoothing);
+  meter.smoothed = slots + (meter.smoothed - slots) * kept;
+  const auto off = std::abs(meter.smoothed - meter.reported);
+  if (off > kReportToleranceSlots && off > kReportTolerance * meter.reported) {
+    meter.reported = static_cast<uint32_t>(std::lround(meter.smoothed));
+  }
+  return meter.reported;
+}
+
+auto ConnectionShare(uint32_t connections, size_t instances) -> uint32_t {
+  return std::max(
+      1U, connections / static_cast<uint32_t>(std::max<size_t>(instances, 1)));
+}
+
+auto ShareSlots(const std::vector<SharedWorker>& workers,
+                const std::vector<InstanceDemand>& demands)
+    -> std::vector<uint32_t> {
+  const auto total = CountSlots(workers);
+  const auto even = 1.0 / static_cast<double>(demands.size());
+  auto sum = 0.0;
+  for (const auto& it : demands) {
+    sum += std::min(it.slots, total);
+  }
+  std::vector<double> weights;
+  weights.reserve(demands.size());
+  for (const auto& it : demands) {
+    const auto by_demand = sum > 0 ? std::min(it.slots, total) / sum : even;
+    weights.push_back(kEvenShare * even + (1 - kEvenShare) * by_demand);
+  }
+  const auto shares =
+      ShareBelow(weights, total, CountReachable(workers, demands.size()));
+  return RoundShares(shares, demands, total);
+}
+
+auto AssignSlots(const std::vector<SharedWorker>& workers,
+                 const std::vector<InstanceDemand>& demands) -> SlotOwners {
+  const auto none = demands.size();
+  SlotOwners owners;
+  owners.reserve(workers.size());
+  for (const auto& it : workers) {
+    owners.emplace_back(it.slots, none);
+  }
+  const auto candidates = ListCandidates(workers, demands);
+  auto quotas = ShareSlots(workers, demands);
+  std::vector<uint32_t> held(workers.size() * demands.size(), 0);
+  const auto assign = [&](bool within_quota) {
+    for (const auto& it : candidates) {
+      auto& owner = owners[it.worker][it.slot];
+      auto& count = held[it.worker * demands.size() + it.instance];
+      auto& quota = quotas[it.instance];
+      const auto limit =
+          ConnectionShare(workers[it.worker].connections, demands.size());
+      if (owner != none || (within_quota && (quota == 0 || count >= limit))) {
+        continue;
+      }
+      owner = it.instance;
+      ++count;
+      quota -= quota > 0 ? 1 : 0;
+    }
+  };
+  assign(true);
+  // Slots that remain because those with a share left have no connection left.
+  assign(false);
+  return owners;
+}
+
+auto AllotSlots(Fleet& fleet,
+                const std::string& service,
+                std::vector<InstanceDemand> demands,
+                const std::string& self) -> void {
+  auto own = std::find_if(
+      demands.begin(), demands.end(),
+      [&](const InstanceDemand& it) { return it.instance == self; });
+  if (own == demands.end()) {
+    own = demands.insert(demands.end(), {self, 0});
+  }
+  const auto self_index = static_cast<size_t>(own - demands.begin());
+  std::vector<size_t> indices;
+  std::vector<SharedWorker> workers;
+  // By the list's word only: own observations differ between instances.
+  for (const auto n : fleet.by_service[service]) {
+    const auto& it = fleet.workers[n];
+    if (it.state == WorkerState::kLive) {
+      indices.push_back(n);
+      workers.push_back(
+          {it.listed.name, it.listed.slots, it.listed.connections});
+    }
+  }
+  const auto owners = AssignSlots(workers, demands);
+  for (size_t n = 0; n < indices.size(); ++n) {
+    auto& worker = fleet.workers[indices[n]];
+    worker.allotted_slots = static_cast<uint32_t>(
+        std::count(owners[n].begin(), owners[n].end(), self_index));
+    worker.max_connections =
+        ConnectionShare(worker.listed.connections, demands.size());
+  }
+  const auto total = CountSlots(workers);
+  auto demanded = 0.0;
+  for (const auto& it : demands) {
+    demanded += std::min(it.slots, total);
+  }
+  fleet.zone_utilisation = total == 0 ? 1 : demanded / total;
+}
+
+}  // namespace boragecroft
--- /dev/null
+++ b/servers/fleet/fleet.cc
@@ -0,0 +1,161 @@
+#include "servers/fleet/fleet.h"
+
+#include <algorithm>
+
+namespace boragecroft {
+
+namespace {
+
+constexpr auto kFirstBusyBackoff = milliseconds(10);
+constexpr auto kMaxBusyBackoff = seconds(1);
+constexpr auto kFirstConnectBackoff = milliseconds(100);
+constexpr auto kMaxConnectBackoff = seconds(5);
+// How long an endpoint that answered "draining" is left alone while the list
+// goes on showing the same incarnation as live.
+constexpr auto kFirstDrainingGrace = seconds(60);
+constexpr auto kMaxDrainingGrace = std::chrono::minutes(16);
+
+// Each start earns this share of one busy answer that borrowing may cost.
+constexpr auto kBorrowCreditPerStart = 0.02;
+constexpr auto kMaxBorrowCredit = 16.0;
+
+auto Doubled(microseconds first, microseconds limit, uint32_t times)
+    -> microseconds {
+  auto wait = first;
+  for (uint32_t n = 1; n < times && wait < limit; ++n) {
+    wait *= 2;
+  }
+  return std::min(wait, limit);
+}
+
+auto Accepted(FleetWorker& worker, const Ticket& ticket) -> void {
+  // Tasks from before the drain prove nothing.
+  if (ticket.tries_draining) {
+    worker.draining = false;
+    worker.draining_answers = 0;
+  }
+  worker.busy_answers = 0;
+  worker.connect_failures = 0;
+  worker.backoff_until = {};
+}
+
+auto Fits(const Needs& needs, const Needs& capacity) -> bool {
+  return needs.cpu_millis <= capacity.cpu_millis &&
+         needs.memory_mb <= capacity.memory_mb &&
+         needs.accelerators <= capacity.accelerators;
+}
+
+auto Left(uint32_t capacity, uint32_t used) -> uint32_t {
+  return capacity > used ? capacity - used : 0;
+}
+
+auto Release(FleetWorker& worker, const Ticket& ticket) -> void {
+  --worker.in_progress;
+  worker.borrowed -= ticket.borrowed ? 1 : 0;
+  worker.occupied.cpu_millis -= ticket.needs.cpu_millis;
+  worker.occupied.memory_mb -= ticket.needs.memory_mb;
+  worker.occupied.accelerators -= ticket.needs.accelerators;
+}
+
+}  // namespace
+
+auto OnStart(Fleet& fleet, size_t index, const Needs& needs) -> Ticket {
+  auto& worker = fleet.workers[index];
+  const Ticket ticket{
+      .index = index,
+      .worker = worker.id,
+      .needs = needs,
+      .borrowed = worker.in_progress - worker.borrowed >= worker.allotted_slots,
+      .tries_draining = worker.draining};
+  ++worker.in_progress;
+  worker.occupied.cpu_millis += needs.cpu_millis;
+  worker.occupied.memory_mb += needs.memory_mb;
+  worker.occupied.accelerators += needs.accelerators;
+  if (ticket.borrowed) {
+    ++worker.borrowed;
+    // Paid in advance: as many may be in progress as may turn out busy.
+    fleet.borrow_credit -= 1;
+  }
+  fleet.borrow_credit =
+      std::min(fleet.borrow_credit + kBorrowCreditPerStart, kMaxBorrowCredit);
+  return ticket;
+}
+
+auto OnAnswer(Fleet& fleet,
+              const Ticket& ticket,
+              EndpointAnswer answer,
+              Now now) -> void {
+  auto& worker = fleet.workers[ticket.index];
+  Release(worker, ticket);
+  if (ticket.borrowed && answer != EndpointAnswer::kBusy) {
+    fleet.borrow_credit = std::min(fleet.borrow_credit + 1, kMaxBorrowCredit);
+  }
+  switch (answer) {
+    case EndpointAnswer::kRan:
+      return Accepted(worker, ticket);
+    case EndpointAnswer::kBusy:
+      ++worker.busy_answers;
+      worker.backoff_until =
+          now.boot +
+          Doubled(kFirstBusyBackoff, kMaxBusyBackoff, worker.busy_answers);
+      return;
+    case EndpointAnswer::kDraining:
+      worker.draining_answers +=
+          !worker.draining || ticket.tries_draining ? 1 : 0;
+      worker.draining = true;
+      worker.draining_seen = now.boot;
+      return;
+    case EndpointAnswer::kConnectFailed:
+      ++worker.connect_failures;
+      worker.connect_failed_at = now.boot;
+      worker.backoff_until =
+          now.boot + Doubled(kFirstConnectBackoff, kMaxConnectBackoff,
+                             worker.connect_failures);
+      return;
+    case EndpointAnswer::kCannotRun:
+    case EndpointAnswer::kSilent:
+      return;
+  }
+}
+
+auto CanEverRun(const Fleet& fleet,
+                const std::string& service,
+                const Needs& needs) -> bool {
+  auto known = false;
+  for (const auto& it : fleet.workers) {
+    if (it.state == WorkerState::kGone || it.listed.service != service) {
+      continue;
+    }
+    known = true;
+    if (Fits(needs, it.listed.capacity)) {
+      return true;
+    }
+  }
+  return !known;
+}
+
+auto IsUsable(const FleetWorker& worker, Now now) -> bool {
+  if (worker.state != WorkerState::kLive || now.boot < worker.backoff_until) {
+    return false;
+  }
+  if (!worker.draining) {
+    return true;
+  }
+  // One task at a time finds out whether the drain was called off.
+  const auto grace =
+      Doubled(kFirstDrainingGrace, kMaxDrainingGrace, worker.draining_answers);
+  return worker.listed_at > worker.draining_seen &&
+         now.boot >= worker.draining_seen + grace && worker.in_progress == 0;
+}
+
+auto HasCapacity(const FleetWorker& worker, const Needs& needs) -> bool {
+  const auto& capacity = worker.listed.capacity;
+  const auto& used = worker.occupied;
+  const Needs left{
+      .cpu_millis = Left(capacity.cpu_millis, used.cpu_millis),
+      .memory_mb = Left(capacity.memory_mb, used.memory_mb),
+      .accelerators = Left(capacity.accelerators, used.accelerators)};
+  return Fits(needs, left);
+}
+
+}  // namespace boragecroft
--- /dev/null
+++ b/servers/fleet/fleet.h
@@ -0,0 +1,139 @@
+// The endpoints of this availability zone as one instance sees them: who exists
+// (from the platform's lagging list), who may be used now (from own
+// observation), and what this instance has in progress on each.
+#ifndef SERVERS_FLEET_FLEET_H_
+#define SERVERS_FLEET_FLEET_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/base/address.h"
+#include "core/base/clock.h"
+#include "servers/fleet/worker_id.h"
+#include "servers/model/submission.h"
+
+namespace boragecroft {
+
+// One endpoint in the platform's list.
+struct ListedWorker {
+  std::string service;
+  std::string name;  // of the worker
+  Address address;
+  std::string incarnation;  // changes when the endpoint restarts
+  uint32_t slots = 8;
+  uint32_t connections = 64;
+  Needs capacity;
+  bool leaving = false;
+
+  auto operator==(const ListedWorker&) const -> bool = default;
+};
+
+struct WorkerList {
+  WallTime as_of{};  // when the platform made it
+  std::vector<ListedWorker> workers;
+};
+
+enum class WorkerState : uint8_t { kLive, kLeaving, kGone };
+
+// One incarnation of an endpoint. It keeps its index in the fleet until it is
+// gone and has nothing in progress.
+struct FleetWorker {
+  WorkerId id;
+  ListedWorker listed;
+  WorkerState state = WorkerState::kLive;
+  double speed = 1;  // learned speed times straggler weight; set by the caller
+
+  // Since when the lists lack it, and in how many of them.
+  Instant missing_since{};
+  uint32_t missing_lists = 0;
+
+  Instant listed_at{};  // when a list last showed it
+
+  bool draining = false;  // answered "draining" and has accepted nothing since
+  Instant draining_seen{};
+  uint32_t draining_answers = 0;  // to tries, without an accepted task between
+  Instant backoff_until{};        // after busy answers and failed connects
+  uint32_t busy_answers = 0;      // in a row
+  uint32_t connect_failures = 0;  // in a row
+  Instant connect_failed_at{};
+
+  uint32_t in_progress = 0;  // tasks of this instance
+  uint32_t borrowed = 0;     // of these, beyond the allotted slots
+  Needs occupied;            // by tasks of this instance
+  uint32_t allotted_slots = 0;
+  uint32_t max_connections = 1;  // of this instance to this worker
+};
+
+struct Fleet {
+  std::vector<FleetWorker> workers;
+  std::unordered_map<std::string, std::vector<size_t>> by_service;
+  std::vector<size_t> unused;  // indices to fill again
+  uint32_t last_id = 0;
+  WallTime list_as_of{};  // of the last list that was applied
+  Instant list_applied_at{};
+
+  double zone_utilisation = 1;  // demand / slots as the instances report it
+  double borrow_credit = 0;     // busy answers that borrowing may still cost
+  std::unordered_map<std::string, size_t> round_robin;  // next turn by service
+};
+
+enum class ListEffect : uint8_t { kApplied, kIgnoredEmpty, kIgnoredStale };
+
+// What a list changed. What was learned of removed incarnations can be dropped.
+struct ListChange {
+  ListEffect effect = ListEffect::kApplied;
+  std::vector<WorkerId> added;
+  std::vector<WorkerId> removed;
+  bool partial = false;  // it lacked too many workers to be believed
+};
+
+// Takes the platform's list, absent when the platform cannot be reached.
+auto ApplyWorkerList(Fleet& fleet,
+                     const std::optional<WorkerList>& list,
+                     Now now) -> ListChange;
+
+// How an endpoint answered one attempt.
+enum class EndpointAnswer : uint8_t {
+  kRan,  // done or failed
+  kBusy,
+  kDraining,
+  kCannotRun,
+  kConnectFailed,  // nothing was sent
+  kSilent,         // sent, and no answer came
+};
+
+// A task in progress on a worker, to hand back with its answer.
+struct Ticket {
+  size_t index = 0;
+  WorkerId worker;
+  Needs needs;
+  bool borrowed = false;
+  bool tries_draining = false;  // finds out whether the drain was called off
+};
+
+// Occupies a slot of the worker at `index`, as PickWorker returned it.
+auto OnStart(Fleet& fleet, size_t index, const Needs& needs) -> Ticket;
+// Frees the slot and learns from the answer.
+auto OnAnswer(Fleet& fleet,
+              const Ticket& ticket,
+              EndpointAnswer answer,
+              Now now) -> void;
+
+// False only when the zone's workers of the service are known and each is too
+// small. A worker that is leaving or put aside counts: its successor may come.
+auto CanEverRun(const Fleet& fleet,
+                const std::string& service,
+                const Needs& needs) -> bool;
+
+// Whether the worker may get new tasks, allowances aside.
+auto IsUsable(const FleetWorker& worker, Now now) -> bool;
+// Whether another task with these needs fits beside those of this instance.
+auto HasCapacity(const FleetWorker& worker, const Needs& needs) -> bool;
+
+}  // namespace boragecroft
+
+#endif  // SERVERS_FLEET_FLEET_H_
--- /dev/null
+++ b/servers/fleet/worker_list.cc
@@ -0,0 +1,182 @@
+// How the platform's lagging list of workers changes the fleet.
+#include <algorithm>
+#include <map>
+#include <unordered_set>
+#include <utility>
+
+#include "servers/fleet/fleet.h"
+
+namespace boragecroft {
+
+namespace {
+
+// A list that is older than the one in force is taken after all when nothing
+// newer came for this long: the platform's clock may have stepped back.
+constexpr auto kStaleListPatience = seconds(60);
+// A worker that the list lacks is gone after this many lists and this long.
+constexpr uint32_t kListsUntilGone = 2;
+constexpr auto kMissingUntilGone = seconds(3);
+
+using Key = std::pair<std::string, std::string>;  // service and worker
+
+struct ServiceCount {
+  size_t known_live = 0;
+  size_t listed = 0;
+};
+
+auto KeyOf(const ListedWorker& listed) -> Key {
+  return {listed.service, listed.name};
+}
+
+// The entries that are not gone, and those that are but can come back.
+auto IndexByKey(const Fleet& fleet) -> std::map<Key, size_t> {
+  std::map<Key, size_t> result;
+  for (const auto& [service, indices] : fleet.by_service) {
+    for (const auto n : indices) {
+      const auto key = KeyOf(fleet.workers[n].listed);
+      const auto [it, is_new] = result.emplace(key, n);
+      if (!is_new && fleet.workers[n].state != WorkerState::kGone) {
+        it->second = n;
+      }
+    }
+  }
+  return result;
+}
+
+auto CountByService(const Fleet& fleet, const WorkerList& list)
+    -> std::map<std::string, ServiceCount> {
+  std::map<std::string, ServiceCount> result;
+  for (const auto& it : fleet.workers) {
+    result[it.listed.service].known_live +=
+        it.state == WorkerState::kLive ? 1 : 0;
+  }
+  for (const auto& it : list.workers) {
+    ++result[it.service].listed;
+  }
+  return result;
+}
+
+auto AddWorker(Fleet& fleet, const ListedWorker& listed) -> size_t {
+  auto index = fleet.workers.size();
+  if (fleet.unused.empty()) {
+    fleet.workers.emplace_back();
+  } else {
+    index = fleet.unused.back();
+    fleet.unused.pop_back();
+    fleet.workers[index] = {};
+  }
+  fleet.workers[index].id = {++fleet.last_id};
+  fleet.workers[index].listed = listed;
+  fleet.by_service[listed.service].push_back(index);
+  return index;
+}
+
+auto IsSameIncarnation(const ListedWorker& a, const ListedWorker& b) -> bool {
+  return a.incarnation == b.incarnation && a.address == b.address;
+}
+
+auto TakeListed(Fleet& fleet,
+                std::map<Key, size_t>& index_by_key,
+                const ListedWorker& listed,
+                Now now,
+                ListChange& change) -> WorkerId {
+  const auto it = index_by_key.find(KeyOf(listed));
+  auto index = it == index_by_key.end() ? fleet.workers.size() : it->second;
+  if (it == index_by_key.end() ||
+      !IsSameIncarnation(fleet.workers[index].listed, listed)) {
+    if (it != index_by_key.end() &&
+        fleet.workers[index].state != WorkerState::kGone) {
+      fleet.workers[index].state = WorkerState::kGone;
+      change.removed.push_back(fleet.workers[index].id);
+    }
+    index = AddWorker(fleet, listed);
+    index_by_key[KeyOf(listed)] = index;
+    change.added.push_back(fleet.workers[index].id);
+  }
+  auto& worker = fleet.workers[index];
+  worker.listed = listed;
+  worker.state = listed.leaving ? WorkerState::kLeaving : WorkerState::kLive;
+  worker.listed_at = now.boot;
+  worker.missing_lists = 0;
+  return worker.id;
+}
+
+auto TakeMissing(FleetWorker& worker, bool believed, Now now) -> void {
+  if (worker.missing_lists == 0) {
+    worker.missing_since = now.boot;
+  }
+  ++worker.missing_lists;
+  const auto confirmed = worker.missing_lists >= kListsUntilGone &&
+                         now.boot - worker.missing_since >= kMissingUntilGone;
+  const auto unreachable = worker.connect_failures > 0 &&
+                           worker.connect_failed_at >= worker.missing_since;
+  if (worker.state == WorkerState::kLeaving || unreachable ||
+      (believed && confirmed)) {
+    worker.state = WorkerState::kGone;
+  }
+}
+
+auto DropGone(Fleet& fleet) -> void {
+  for (auto& [service, indices] : fleet.by_service) {
+    std::erase_if(indices, [&](size_t n) {
+      const auto& worker = fleet.workers[n];
+      const auto drop =
+          worker.state == WorkerState::kGone && worker.in_progress == 0;
+      if (drop) {
+        fleet.unused.push_back(n);
+      }
+      return drop;
+    });
+  }
+}
+
+auto IsStale(const Fleet& fleet, const WorkerList& list, Now now) -> bool {
+  return list.as_of < fleet.list_as_of &&
+         now.boot - fleet.list_applied_at < kStaleListPatience;
+}
+
+}  // namespace
+
+auto ApplyWorkerList(Fleet& fleet,
+                     const std::optional<WorkerList>& list,
+                     Now now) -> ListChange {
+  ListChange change;
+  if (!list || list->workers.empty()) {
+    change.effect = ListEffect::kIgnoredEmpty;
+    return change;
+  }
+  if (IsStale(fleet, *list, now)) {
+    change.effect = ListEffect::kIgnoredStale;
+    return change;
+  }
+  const auto is_repeated = list->as_of == fleet.list_as_of;
+  const auto counts = CountByService(fleet, *list);
+  auto index_by_key = IndexByKey(fleet);
+  std::unordered_set<WorkerId> seen;
+  for (const auto& it : list->workers) {
+    seen.insert(TakeListed(fleet, index_by_key, it, now, change));
+  }
+  for (auto& it : fleet.workers) {
+    if (it.state == WorkerState::kGone || seen.contains(it.id)) {
+      continue;
+    }
+    // Fewer than half of the workers: a part of a list.
+    const auto& count = counts.at(it.listed.service);
+    const auto believed = count.listed * 2 >= count.known_live;
+    change.partial = change.partial || !believed;
+    // The same list again says nothing new about who is missing.
+    if (is_repeated) {
+      continue;
+    }
+    TakeMissing(it, believed, now);
+    if (it.state == WorkerState::kGone) {
+      change.removed.push_back(it.id);
+    }
+  }
+  DropGone(fleet);
+  fleet.list_as_of = list->as_of;
+  fleet.list_applied_at = now.boot;
+  return change;
+}
+
+}  // namespace boragecroft
--- /dev/null
+++ b/tests/servers/health/judge_test.cc
@@ -0,0 +1,201 @@
+#include "servers/health/judge.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include <rapidcheck/gtest.h>
+
+#include "tests/servers/health/simulated_fleet.h"
+
+namespace boragecroft {
+namespace {
+
+struct JudgeTest : testing::Test {
+  Judge judge;
+  Now now{Instant(seconds(1000)), WallTime()};
+  uint64_t jobs = 0;
+
+  JudgeTest() { SetPoolSize(judge, "cartas", 16); }
+
+  auto Record(uint32_t worker,
+              Outcome outcome,
+              const std::string& kind = "letter",
+              uint64_t job = 0) -> Verdict {
+    const JobId id{.sequence = job != 0 ? job : ++jobs};
+    return RecordOutcome(
+        judge, {{worker}, id, {"cartas", kind}, outcome, now.boot}, now);
+  }
+  // Each worker from `first` on does some tasks of a kind.
+  auto Warm(const std::string& kind = "letter", uint32_t first = 0) -> void {
+    for (auto worker = first; worker < 16; ++worker) {
+      for (auto n = 0; n < 4; ++n) {
+        Record(worker, Outcome::kDone, kind);
+      }
+    }
+  }
+  auto FailUntilAside(uint32_t worker,
+                      Outcome outcome,
+                      const std::string& kind = "letter") -> int {
+    for (auto n = 1; n <= 50; ++n) {
+      if (Record(worker, outcome, kind).kind == VerdictKind::kPutAside) {
+        return n;
+      }
+    }
+    return 0;
+  }
+  auto IsAside(uint32_t worker, const std::string& kind = "letter") const
+      -> bool {
+    const auto ids = FindExclusions(judge, {"cartas", kind}, now).excluded;
+    return std::find(ids.begin(), ids.end(), WorkerId{worker}) != ids.end();
+  }
+};
+
+TEST_F(JudgeTest, AWorkerThatFailsWhatRunsElsewhereIsPutAsideAfterAFewTasks) {
+  Warm();
+  const auto tasks = FailUntilAside(3, Outcome::kFailed);
+  EXPECT_GE(tasks, 3);
+  EXPECT_LE(tasks, 6);
+  EXPECT_TRUE(IsAside(3));
+}
+
+TEST_F(JudgeTest, AJobThatFailsEverywherePutsNobodyAside) {
+  Warm();
+  for (uint32_t n = 0; n < 2000; ++n) {
+    EXPECT_EQ(Record(n % 16, Outcome::kFailed, "letter", 1'000'000).kind,
+              VerdictKind::kUnchanged);
+  }
+}
+
+TEST_F(JudgeTest, OneJobAloneCondemnsAWorkerOnlyWhenItRunsOnOthers) {
+  Warm();
+  for (auto n = 0; n < 30; ++n) {
+    EXPECT_EQ(Record(3, Outcome::kFailed, "letter", 1'000'000).kind,
+              VerdictKind::kUnchanged);
+  }
+  Record(4, Outcome::kDone, "letter", 1'000'000);
+  Record(5, Outcome::kDone, "letter", 1'000'000);
+  EXPECT_EQ(Record(3, Outcome::kFailed, "letter", 1'000'000).kind,
+            VerdictKind::kPutAside);
+}
+
+TEST_F(JudgeTest, AWorkerThatFailsOneKindOnlyIsPutAsideForThatKind) {
+  Warm("letter");
+  Warm("scan", 1);
+  for (auto n = 0; n < 100 && !IsAside(0, "scan"); ++n) {
+    for (auto i = 0; i < 5; ++i) {
+      Record(0, Outcome::kDone, "letter");
+    }
+    Record(0, Outcome::kFailed, "scan");
+  }
+  EXPECT_TRUE(IsAside(0, "scan"));
+  EXPECT_FALSE(IsAside(0, "letter"));
+}
+
+TEST_F(JudgeTest, SilenceAndFailedConnectsCountLessThanFailures) {
+  Warm();
+  const auto failures = FailUntilAside(3, Outcome::kFailed);
+  const auto silences = FailUntilAside(4, Outcome::kSilent);
+  const auto connects = FailUntilAside(5, Outcome::kConnectFailed);
+  EXPECT_LT(failures, silences);
+  EXPECT_LT(failures, connects);
+  EXPECT_LE(std::max(silences, connects), 12);
+}
+
+TEST_F(JudgeTest, ProbesComeSinglyAndAtGrowingIntervals) {
+  Warm();
+  FailUntilAside(3, Outcome::kFailed);
+  auto interval = microseconds(seconds(1));
+  for (auto n = 0; n < 8; ++n) {
+    now.boot += interval - milliseconds(1);
+    EXPECT_FALSE(StartProbe(judge, {3}, {"cartas", "letter"}, now));
+    now.boot += milliseconds(1);
+    EXPECT_TRUE(StartProbe(judge, {3}, {"cartas", "letter"}, now));
+    EXPECT_FALSE(StartProbe(judge, {3}, {"cartas", "letter"}, now))
+        << "one at a time";
+    Record(3, Outcome::kFailed);
+    interval = std::min<microseconds>(interval * 2, seconds(64));
+  }
+  now.boot += interval;
+  StartProbe(judge, {3}, {"cartas", "letter"}, now);
+  EXPECT_EQ(Record(3, Outcome::kDone).kind, VerdictKind::kReadmitted);
+  EXPECT_FALSE(IsAside(3));
+  FailUntilAside(3, Outcome::kFailed);
+  now.boot += seconds(30);
+  EXPECT_FALSE(StartProbe(judge, {3}, {"cartas", "letter"}, now))
+      << "setbacks are remembered";
+}
+
+TEST_F(JudgeTest, AnAnswerFromBeforeTheProbeReadmitsNobody) {
+  Warm();
+  FailUntilAside(3, Outcome::kFailed);
+  const auto before = now.boot;
+  now.boot += seconds(1);
+  StartProbe(judge, {3}, {"cartas", "letter"}, now);
+  RecordOutcome(
+      judge,
+      {{3}, {.sequence = 9}, {"cartas", "letter"}, Outcome::kDone, before},
+      now);
+  EXPECT_TRUE(IsAside(3));
+}
+
+TEST_F(JudgeTest, AStragglerWeighsLessForAWhile) {
+  RecordStraggler(judge, {3}, now);
+  EXPECT_DOUBLE_EQ(StragglerWeight(judge, {3}, now), 0.5);
+  now.boot += seconds(60);
+  EXPECT_GT(StragglerWeight(judge, {3}, now), 0.95);
+  EXPECT_EQ(StragglerWeight(judge, {4}, now), 1);
+}
+
+RC_GTEST_FIXTURE_PROP(JudgeTest, NoMoreThanTheCapIsPutAside, ()) {
+  judge.max_ejected_percent = *rc::gen::inRange(0, 101);
+  const auto workers = *rc::gen::inRange<uint32_t>(1, 17);
+  SetPoolSize(judge, "cartas", workers);
+  for (auto n = 0; n < 400; ++n) {
+    now.boot += milliseconds(*rc::gen::inRange(0, 300));
+    const auto worker = *rc::gen::inRange<uint32_t>(0, workers);
+    const std::string kind = *rc::gen::element("letter", "scan");
+    StartProbe(judge, {worker}, {"cartas", kind}, now);
+    Record(worker, static_cast<Outcome>(*rc::gen::inRange(0, 4)), kind);
+    RC_ASSERT(FindExclusions(judge, {"cartas", kind}, now).excluded.size() *
+                  100 <=
+              workers * judge.max_ejected_percent);
+  }
+}
+
+struct SimulatedFleetTest : testing::TestWithParam<uint64_t> {};
+
+TEST_P(SimulatedFleetTest,
+       AWorkerThatFailsEverythingIsPutAsideSoonAndCostsLittle) {
+  const auto outcome = Simulate({.bad_workers = {7}, .seed = GetParam()});
+  EXPECT_TRUE(outcome.all_put_aside);
+  EXPECT_LE(outcome.last_put_aside, seconds(2));
+  EXPECT_LT(outcome.failed_by_bad_workers * 100, outcome.starts);
+  EXPECT_EQ(outcome.put_aside, 0U);
+  RecordProperty("put_aside_us",
+                 static_cast<int>(outcome.last_put_aside.count()));
+  RecordProperty("failed", static_cast<int>(outcome.failed_by_bad_workers));
+  RecordProperty("starts", static_cast<int>(outcome.starts));
+}
+
+TEST_P(SimulatedFleetTest, JobsThatAlwaysFailPutNobodyAside) {
+  const auto outcome =
+      Simulate({.one_job_in_ten_fails = true, .seed = GetParam()});
+  EXPECT_EQ(outcome.put_aside, 0U);
+}
+
+TEST_P(SimulatedFleetTest, BadWorkersAreToldFromBadJobsAtTheSameTime) {
+  const auto outcome = Simulate({.bad_workers = {2, 7, 11},
+                                 .one_job_in_ten_fails = true,
+                                 .seed = GetParam()});
+  EXPECT_TRUE(outcome.all_put_aside);
+  EXPECT_LE(outcome.last_put_aside, seconds(2));
+  EXPECT_EQ(outcome.put_aside, 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds,
+                         SimulatedFleetTest,
+                         testing::Range<uint64_t>(1, 9));
+
+}  // namespace
+}  // namespace boragecroft
--- /dev/null
+++ b/tests/servers/health/simulated_fleet.cc
@@ -0,0 +1,238 @@
+#include "tests/servers/health/simulated_fleet.h"
+
+#include <deque>
+#include <functional>
+#include <queue>
+#include <random>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+#include "servers/fleet/allotment.h"
+#include "servers/fleet/pick.h"
+#include "servers/health/judge.h"
+
+namespace boragecroft {
+
+namespace {
+
+const WorkKind kLetter{"cartas", "letter"};
+constexpr auto kMeanRunTime = milliseconds(250);
+constexpr auto kFailureTime = milliseconds(1);
+constexpr auto kRoundTrip = microseconds(500);
+constexpr auto kTick = milliseconds(10);
+constexpr auto kHeartbeat = milliseconds(500);
+
+struct Task {
+  JobId job;
+  bool fails = false;
+  Instant arrived;
+};
+
+struct Instance {
+  std::string name;
+  Fleet fleet;
+  Judge judge;
+  DemandMeter meter;
+  std::deque<Task> queue;
+  uint32_t in_progress = 0;
+  std::unordered_set<WorkerId> put_aside;
+  uint64_t jobs = 0;
+};
+
+struct Simulation {
+  const SimulatedFleet& options;
+  SimulatedOutcome outcome;
+  Random random;
+  Now now{Instant(seconds(1)), WallTime()};
+  std::vector<Instance> instances;
+  std::vector<uint32_t> busy_slots;  // by worker
+  using Event = std::pair<Instant, std::function<void()>>;
+  struct Later {
+    auto operator()(const Event& a, const Event& b) const -> bool {
+      return a.first > b.first;
+    }
+  };
+  std::priority_queue<Event, std::vector<Event>, Later> events;
+
+  auto At(Instant time, std::function<void()> action) -> void {
+    events.emplace(time, std::move(action));
+  }
+  auto BreakTime() const -> Instant {
+    return Instant(seconds(1)) + options.broken_at;
+  }
+  auto DrawInterval(microseconds mean) -> microseconds {
+    std::exponential_distribution<double> draw(
+        1.0 / static_cast<double>(mean.count()));
+    return microseconds(static_cast<int64_t>(draw(random)));
+  }
+
+  auto Setup() -> void {
+    WorkerList list;
+    for (uint32_t n = 0; n < options.workers; ++n) {
+      list.workers.push_back({.service = "cartas", .name = std::to_string(n)});
+    }
+    busy_slots.resize(options.workers, 0);
+    instances.resize(options.instances);
+    for (size_t n = 0; n < instances.size(); ++n) {
+      auto& it = instances[n];
+      it.name = std::to_string(n);
+      ApplyWorkerList(it.fleet, list, now);
+      SetPoolSize(it.judge, "cartas", options.workers);
+      Arrive(n);
+    }
+    Heartbeat();
+    Tick();
+  }
+
+  auto Heartbeat() -> void {
+    std::vector<InstanceDemand> demands;
+    for (auto& it : instances) {
+      const auto slots =
+          it.in_progress + static_cast<uint32_t>(it.queue.size());
+      demands.push_back({it.name, UpdateDemand(it.meter, slots, now)});
+    }
+    for (auto& it : instances) {
+      AllotSlots(it.fleet, "cartas", demands, it.name);
+    }
+    for (const auto& from : instances) {
+      for (const auto& shared : ListSharedVerdicts(from.judge)) {
+        for (auto& to : instances) {
+          if (&to != &from) {
+            NoteVerdict(to, TakePeerVerdict(to.judge, from.name, shared, now));
+          }
+        }
+      }
+    }
+    At(now.boot + kHeartbeat, [this] { Heartbeat(); });
+  }
+
+  auto Tick() -> void {
+    for (size_t n = 0; n < instances.size(); ++n) {
+      Dispatch(n);
+    }
+    At(now.boot + kTick, [this] { Tick(); });
+  }
+
+  // One job arrives; instance 0 gets twice the load of the others.
+  auto Arrive(size_t n) -> void {
+    auto& it = instances[n];
+    const JobId job{.incarnation = {n + 1}, .sequence = ++it.jobs};
+    const auto fails = options.one_job_in_ten_fails && it.jobs % 10 == 0;
+    for (uint32_t task = 0; task < options.tasks_per_job; ++task) {
+      it.queue.push_back({job, fails, now.boot});
+    }
+    const auto share = (n == 0 ? 2.0 : 1.0) / (options.instances + 1.0);
+    const auto tasks_per_us =
+        options.workers * 8 * options.load * share /
+        static_cast<double>(microseconds(kMeanRunTime).count());
+    At(now.boot + DrawInterval(microseconds(static_cast<int64_t>(
+                      options.tasks_per_job / tasks_per_us))),
+       [this, n] { Arrive(n); });
+    Dispatch(n);
+  }
+
+  auto Dispatch(size_t n) -> void {
+    auto& it = instances[n];
+    while (!it.queue.empty()) {
+      const auto exclusions = FindExclusions(it.judge, kLetter, now);
+      const PickRequest request{.service = "cartas",
+                                .excluded = exclusions.excluded,
+                                .probe_due = exclusions.probe_due};
+      const auto index =
+          PickWorker(it.fleet, request, options.policy, random, now);
+      if (!index) {
+        return;
+      }
+      const auto task = it.queue.front();
+      it.queue.pop_front();
+      StartProbe(it.judge, it.fleet.workers[*index].id, kLetter, now);
+      const auto ticket = OnStart(it.fleet, *index, {});
+      ++it.in_progress;
+      const auto started = now.boot;
+      At(now.boot + kRoundTrip / 2,
+         [=, this] { Reach(n, task, ticket, started); });
+    }
+  }
+
+  auto NoteVerdict(Instance& instance, const Verdict& verdict) -> void {
+    if (verdict.kind != VerdictKind::kPutAside) {
+      return;
+    }
+    const auto id = verdict.subject.worker;
+    // The fleet numbers the workers of its first list from 1.
+    const auto is_bad = options.bad_workers.contains(id.value - 1);
+    outcome.put_aside += is_bad ? 0 : 1;
+    if (is_bad && instance.put_aside.insert(id).second) {
+      outcome.last_put_aside = now.boot - BreakTime();
+    }
+  }
+
+  // The request reaches the worker.
+  auto Reach(size_t n, const Task& task, const Ticket& ticket, Instant started)
+      -> void {
+    auto& slots = busy_slots[ticket.index];
+    if (slots >= 8) {
+      ++outcome.busy;
+      At(now.boot + kRoundTrip / 2, [=, this] {
+        OnAnswer(instances[n].fleet, ticket, EndpointAnswer::kBusy, now);
+        --instances[n].in_progress;
+        instances[n].queue.push_front(task);
+        Dispatch(n);
+      });
+      return;
+    }
+    ++slots;
+    ++outcome.starts;
+    outcome.total_wait += now.boot - task.arrived;
+    const auto is_bad =
+        now.boot >= BreakTime() &&
+        options.bad_workers.contains(static_cast<uint32_t>(ticket.index));
+    outcome.failed_by_bad_workers += is_bad ? 1 : 0;
+    const auto failed = is_bad || task.fails;
+    const auto run_time = failed ? kFailureTime : DrawInterval(kMeanRunTime);
+    At(now.boot + run_time, [=, this] { --busy_slots[ticket.index]; });
+    At(now.boot + run_time + kRoundTrip / 2,
+       [=, this] { Answer(n, task, ticket, started, failed); });
+  }
+
+  auto Answer(size_t n,
+              const Task& task,
+              const Ticket& ticket,
+              Instant started,
+              bool failed) -> void {
+    auto& it = instances[n];
+    OnAnswer(it.fleet, ticket, EndpointAnswer::kRan, now);
+    --it.in_progress;
+    const auto verdict =
+        RecordOutcome(it.judge,
+                      {ticket.worker, task.job, kLetter,
+                       failed ? Outcome::kFailed : Outcome::kDone, started},
+                      now);
+    NoteVerdict(it, verdict);
+    Dispatch(n);
+  }
+};
+
+}  // namespace
+
+auto Simulate(const SimulatedFleet& options) -> SimulatedOutcome {
+  Simulation simulation{.options = options, .random = Random(options.seed)};
+  simulation.Setup();
+  const auto end = simulation.now.boot + options.length;
+  while (simulation.events.top().first < end) {
+    const auto [time, action] = simulation.events.top();
+    simulation.events.pop();
+    simulation.now.boot = time;
+    action();
+  }
+  simulation.outcome.all_put_aside = true;
+  for (const auto& it : simulation.instances) {
+    simulation.outcome.all_put_aside =
+        simulation.outcome.all_put_aside &&
+        it.put_aside.size() == options.bad_workers.size();
+  }
+  return simulation.outcome;
+}
+
+}  // namespace boragecroft
