--- a/core/log/log.cc
+++ b/core/log/log.cc
@@ -66,8 +66,11 @@
 
 auto InitLog(LogLevel level, std::string instance) -> void {
   Setup() = LogSetup{.level = level, .instance = std::move(instance)};
-  logging::add_console_log(std::clog, logging::keywords::format = "%Message%",
-                           logging::keywords::auto_flush = true);
+  logging::add_console_log(
+      std::clog,
+      logging::keywords::format = logging::expressions::stream
+                                  << logging::expressions::smessage,
+      logging::keywords::auto_flush = true);
   logging::core::get()->set_filter(logging::trivial::severity >=
                                    ToSeverity(level));
 }
--- /dev/null
+++ b/main/daemon/daemon.cc
@@ -0,0 +1,274 @@
+#include "main/daemon/daemon.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <utility>
+
+#include "core/base/random.h"
+#include "core/log/log.h"
+#include "main/daemon/dispatcher_thread.h"
+#include "main/daemon/duty_thread.h"
+#include "main/daemon/settings_map.h"
+#include "peers/caller/caller_server.h"
+#include "peers/endpoint/endpoint_client.h"
+#include "peers/instance/instance_link.h"
+#include "peers/operator/operator_server.h"
+#include "peers/platform/platform_client.h"
+
+namespace boragecroft {
+
+namespace asio = boost::asio;
+
+namespace detail {
+
+constexpr milliseconds kOutboxRetry{1};
+constexpr milliseconds kLastAnswers{2000};
+constexpr milliseconds kLastAnswersPoll{5};
+
+// A ring from the dispatcher to a duty thread, which handles each item on its
+// event loop.
+template <class T>
+struct CommandRing {
+  CommandRing(size_t capacity, DutyThread& duty)
+      : thread(duty), ring(capacity, [this] {
+          asio::post(thread.Context(), [this] { Drain(); });
+        }) {}
+
+  auto Drain() -> void {
+    std::vector<T> items;
+    ring.Drain(items);
+    for (auto& it : items) {
+      handle(std::move(it));
+    }
+  }
+
+  DutyThread& thread;
+  std::function<void(T)> handle;
+  BoundedRing<T> ring;
+};
+
+// The way back for items that must not be lost: a full ring is tried again
+// until it takes them.
+template <class T>
+struct ReturnPath {
+  ReturnPath(BoundedRing<T>& ring, DutyThread& duty)
+      : outbox(ring), timer(duty.Context()) {}
+
+  auto Send(T item) -> void {
+    outbox.Send(std::move(item));
+    Retry();
+  }
+
+  auto Retry() -> void {
+    if (outbox.waiting.empty() || retrying) {
+      return;
+    }
+    retrying = true;
+    timer.expires_after(kOutboxRetry);
+    timer.async_wait([this](boost::system::error_code ec) {
+      retrying = false;
+      if (!ec) {
+        outbox.Flush();
+        Retry();
+      }
+    });
+  }
+
+  Outbox<T> outbox;
+  asio::steady_timer timer;
+  bool retrying = false;
+};
+
+struct DaemonState {
+  explicit DaemonState(const DaemonSettings& settings)
+      : inputs(ToRingSizes(settings), doorbell),
+        caller_replies(settings.caller_ring_size, callers),
+        endpoint_commands(settings.endpoint_ring_size, endpoints),
+        peer_commands(settings.instance_ring_size, instances),
+        platform_commands(settings.platform_ring_size, platform),
+        operator_replies(settings.operator_ring_size, operators),
+        attempt_outcomes(inputs.endpoints, endpoints),
+        platform_outcomes(inputs.platform, platform) {
+    view.store(std::make_shared<CallerView>());
+  }
+
+  DutyThread callers{"callers"};
+  DutyThread endpoints{"endpoints"};
+  DutyThread instances{"instances"};
+  DutyThread platform{"platform"};
+  DutyThread operators{"operators"};
+  Doorbell doorbell;
+  DispatcherInputs inputs;
+  CommandRing<CallerReply> caller_replies;
+  CommandRing<EndpointCommand> endpoint_commands;
+  CommandRing<PeerCommand> peer_commands;
+  CommandRing<PlatformCommand> platform_commands;
+  CommandRing<OperatorReply> operator_replies;
+  ReturnPath<AttemptOutcome> attempt_outcomes;
+  ReturnPath<PlatformOutcome> platform_outcomes;
+  SharedCallerView view;
+  std::unique_ptr<CallerServer> caller_server;
+  std::unique_ptr<EndpointClient> endpoint_client;
+  std::unique_ptr<InstanceLink> instance_link;
+  std::unique_ptr<PlatformClient> platform_client;
+  std::unique_ptr<OperatorServer> operator_server;
+  std::unique_ptr<DispatcherThread> dispatcher;
+};
+
+static auto ListenForCallers(DaemonState& state, const Address& address)
+    -> Result<void, std::string> {
+  auto server = CallerServer::Listen(
+      state.callers.Context(), address, state.view,
+      [&state](CallerRequest request) {
+        return state.inputs.callers.TryPush(std::move(request));
+      });
+  if (server.has_error()) {
+    return server.error();
+  }
+  state.caller_server = std::move(server).value();
+  state.caller_replies.handle = [&state](const CallerReply& it) {
+    state.caller_server->Deliver(it);
+  };
+  return success();
+}
+
+static auto ListenForInstances(DaemonState& state, const Address& address)
+    -> Result<void, std::string> {
+  auto link = InstanceLink::Listen(
+      state.instances.Context(), address, [&state](PeerMessage message) {
+        // A message that does not fit is dropped: time limits settle what
+        // depended on it.
+        if (!state.inputs.instances.TryPush(std::move(message))) {
+          Log(LogLevel::kWarning, "peer_message_dropped", {});
+        }
+      });
+  if (link.has_error()) {
+    return link.error();
+  }
+  state.instance_link = std::move(link).value();
+  state.peer_commands.handle = [&state](PeerCommand it) {
+    state.instance_link->Execute(std::move(it));
+  };
+  return success();
+}
+
+static auto ListenForOperators(DaemonState& state, const Address& address)
+    -> Result<void, std::string> {
+  auto server = OperatorServer::Listen(
+      state.operators.Context(), address, [&state](OperatorRequest request) {
+        return state.inputs.operators.TryPush(std::move(request));
+      });
+  if (server.has_error()) {
+    return server.error();
+  }
+  state.operator_server = std::move(server).value();
+  state.operator_replies.handle = [&state](const OperatorReply& it) {
+    state.operator_server->Deliver(it);
+  };
+  return success();
+}
+
+static auto ConnectClients(DaemonState& state, const DaemonSettings& settings)
+    -> void {
+  state.endpoint_client = std::make_unique<EndpointClient>(
+      state.endpoints.Context(), [&state](AttemptOutcome it) {
+        state.attempt_outcomes.Send(std::move(it));
+      });
+  state.endpoint_commands.handle = [&state](EndpointCommand it) {
+    state.endpoint_client->Execute(std::move(it));
+  };
+  state.platform_client = std::make_unique<PlatformClient>(
+      state.platform.Context(), settings.platform, settings.platform_timeout,
+      [&state](PlatformOutcome it) {
+        state.platform_outcomes.Send(std::move(it));
+      });
+  state.platform_commands.handle = [&state](const PlatformCommand& it) {
+    state.platform_client->Execute(it);
+  };
+}
+
+static auto MakeDispatcherThread(DaemonState& state,
+                                 const DaemonSettings& settings) -> void {
+  const Address peer_address{.ip = settings.listen_instances.ip,
+                             .port = state.instance_link->Port()};
+  const Incarnation self{DrawEntropy()};
+  auto dispatcher = MakeDispatcher(ToDispatcherSettings(settings, peer_address),
+                                   self, DrawEntropy(), ReadClocks());
+  const DispatcherOutputs outputs{.callers = state.caller_replies.ring,
+                                  .endpoints = state.endpoint_commands.ring,
+                                  .instances = state.peer_commands.ring,
+                                  .platform = state.platform_commands.ring,
+                                  .operators = state.operator_replies.ring};
+  state.dispatcher = std::make_unique<DispatcherThread>(
+      std::move(dispatcher), state.inputs, state.doorbell, outputs, state.view);
+  Log(LogLevel::kInfo, "listening",
+      {{"incarnation", ToString(self)},
+       {"callers", state.caller_server->Port()},
+       {"instances", peer_address.port},
+       {"operators", state.operator_server->Port()}});
+}
+
+static auto StartThreads(DaemonState& state) -> void {
+  state.callers.Start();
+  state.endpoints.Start();
+  state.instances.Start();
+  state.platform.Start();
+  state.operators.Start();
+  state.dispatcher->Start();
+}
+
+// Lets callers' last answers leave before the process ends.
+static auto FlushCallers(DaemonState& state) -> void {
+  std::atomic<size_t> waiting = 1;
+  asio::post(state.callers.Context(), [&] { state.caller_server->Drain(); });
+  const auto end = BootClock::now() + kLastAnswers;
+  while (waiting > 0 && BootClock::now() < end) {
+    std::atomic<bool> seen = false;
+    asio::post(state.callers.Context(), [&] {
+      waiting = state.caller_server->Waiting();
+      seen = true;
+    });
+    while (!seen) {
+      std::this_thread::sleep_for(kLastAnswersPoll);
+    }
+  }
+}
+
+}  // namespace detail
+
+auto Daemon::Start(const DaemonSettings& settings)
+    -> Result<std::unique_ptr<Daemon>, std::string> {
+  auto state = std::make_unique<detail::DaemonState>(settings);
+  BOOST_OUTCOME_TRY(detail::ListenForCallers(*state, settings.listen_callers));
+  BOOST_OUTCOME_TRY(
+      detail::ListenForInstances(*state, settings.listen_instances));
+  BOOST_OUTCOME_TRY(
+      detail::ListenForOperators(*state, settings.listen_operators));
+  detail::ConnectClients(*state, settings);
+  detail::MakeDispatcherThread(*state, settings);
+  detail::StartThreads(*state);
+  return std::unique_ptr<Daemon>(new Daemon(std::move(state)));
+}
+
+Daemon::Daemon(std::unique_ptr<detail::DaemonState> state)
+    : state_(std::move(state)) {}
+
+Daemon::~Daemon() {
+  state_->callers.Stop();
+  state_->endpoints.Stop();
+  state_->instances.Stop();
+  state_->platform.Stop();
+  state_->operators.Stop();
+}
+
+auto Daemon::RequestDrain() -> void {
+  state_->dispatcher->RequestDrain();
+}
+
+auto Daemon::Wait() -> bool {
+  const auto clean = state_->dispatcher->Join();
+  detail::FlushCallers(*state_);
+  return clean;
+}
+
+}  // namespace boragecroft
--- /dev/null
+++ b/main/daemon/dispatcher_thread.cc
@@ -0,0 +1,135 @@
+#include "main/daemon/dispatcher_thread.h"
+
+#include <pthread.h>
+
+#include <utility>
+
+namespace boragecroft {
+namespace {
+
+constexpr milliseconds kIdleWait{10};
+constexpr milliseconds kBlockedWait{1};
+
+template <class T, class Handle>
+auto TakeAll(BoundedRing<T>& ring, Handle handle) -> bool {
+  std::vector<T> items;
+  ring.Drain(items);
+  for (auto& it : items) {
+    handle(it);
+  }
+  return !items.empty();
+}
+
+}  // namespace
+
+DispatcherInputs::DispatcherInputs(const RingSizes& sizes, Doorbell& doorbell)
+    : callers(sizes.callers, [&] { doorbell.Ring(); }),
+      endpoints(sizes.endpoints, [&] { doorbell.Ring(); }),
+      instances(sizes.instances, [&] { doorbell.Ring(); }),
+      platform(sizes.platform, [&] { doorbell.Ring(); }),
+      operators(sizes.operators, [&] { doorbell.Ring(); }) {}
+
+DispatcherThread::DispatcherThread(std::unique_ptr<Dispatcher> dispatcher,
+                                   DispatcherInputs& inputs,
+                                   Doorbell& doorbell,
+                                   const DispatcherOutputs& outputs,
+                                   SharedCallerView& view)
+    : dispatcher_(std::move(dispatcher)),
+      inputs_(inputs),
+      doorbell_(doorbell),
+      callers_(outputs.callers),
+      endpoints_(outputs.endpoints),
+      instances_(outputs.instances),
+      platform_(outputs.platform),
+      operators_(outputs.operators),
+      view_(view) {
+  view_.store(MakeCallerView(*dispatcher_, ReadClocks()));
+}
+
+DispatcherThread::~DispatcherThread() {
+  if (thread_.joinable()) {
+    thread_.join();
+  }
+}
+
+auto DispatcherThread::Start() -> void {
+  thread_ = std::thread([this] {
+    pthread_setname_np(pthread_self(), "dispatcher");
+    Run();
+  });
+}
+
+auto DispatcherThread::RequestDrain() -> void {
+  drain_requested_ = true;
+  doorbell_.Ring();
+}
+
+auto DispatcherThread::Join() -> bool {
+  thread_.join();
+  return !dispatcher_->deposed;
+}
+
+auto DispatcherThread::Run() -> void {
+  Outputs out;
+  while (true) {
+    Step step{.dispatcher = *dispatcher_, .now = ReadClocks(), .out = out};
+    if (drain_requested_) {
+      BeginDrain(step);
+    }
+    const auto worked = TakeEvents(out);
+    step.now = ReadClocks();
+    Advance(step);
+    const auto all_out = HandOut(out);
+    PublishView();
+    if (IsStopped(*dispatcher_) && all_out) {
+      return;
+    }
+    if (!worked) {
+      doorbell_.Wait(all_out ? kIdleWait : kBlockedWait);
+    }
+  }
+}
+
+auto DispatcherThread::TakeEvents(Outputs& out) -> bool {
+  Step step{.dispatcher = *dispatcher_, .now = ReadClocks(), .out = out};
+  auto worked = TakeAll(inputs_.endpoints, [&](AttemptOutcome& it) {
+    OnAttemptOutcome(step, it);
+  });
+  worked |= TakeAll(inputs_.platform, [&](PlatformOutcome& it) {
+    OnPlatformOutcome(step, std::move(it));
+  });
+  worked |= TakeAll(inputs_.instances, [&](PeerMessage& it) {
+    OnPeerMessage(step, std::move(it));
+  });
+  worked |= TakeAll(inputs_.operators, [&](OperatorRequest& it) {
+    OnOperatorRequest(step, std::move(it));
+  });
+  worked |= TakeAll(inputs_.callers, [&](CallerRequest& it) {
+    OnCallerRequest(step, std::move(it));
+  });
+  return worked;
+}
+
+auto DispatcherThread::HandOut(Outputs& out) -> bool {
+  callers_.SendAll(out.callers);
+  endpoints_.SendAll(out.endpoints);
+  instances_.SendAll(out.peers);
+  platform_.SendAll(out.platform);
+  operators_.SendAll(out.operators);
+  return callers_.waiting.empty() && endpoints_.waiting.empty() &&
+         instances_.waiting.empty() && platform_.waiting.empty() &&
+         operators_.waiting.empty();
+}
+
+auto DispatcherThread::PublishView() -> void {
+  const auto next = MakeCallerView(*dispatcher_, ReadClocks());
+  const auto current = view_.load();
+  const auto same = current->configuration == next->configuration &&
+                    current->ready == next->ready &&
+                    current->accepting == next->accepting;
+  if (!same) {
+    view_.store(next);
+  }
+}
+
+}  // namespace boragecroft
--- /dev/null
+++ b/main/daemon/dispatcher_thread.h
@@ -0,0 +1,83 @@
+// The thread that owns the dispatcher's state: takes events from its rings,
+// hands commands to those of the others.
+#ifndef MAIN_DAEMON_DISPATCHER_THREAD_H_
+#define MAIN_DAEMON_DISPATCHER_THREAD_H_
+
+#include <atomic>
+#include <memory>
+#include <thread>
+
+#include "main/daemon/doorbell.h"
+#include "main/daemon/outbox.h"
+#include "servers/dispatcher/dispatcher.h"
+
+namespace boragecroft {
+
+struct RingSizes {
+  size_t callers = 4096;
+  size_t endpoints = 16384;
+  size_t instances = 4096;
+  size_t platform = 1024;
+  size_t operators = 256;
+};
+
+// Rings into the dispatcher's thread; any thread of a peer may push to its own.
+struct DispatcherInputs {
+  DispatcherInputs(const RingSizes& sizes, Doorbell& doorbell);
+
+  BoundedRing<CallerRequest> callers;
+  BoundedRing<AttemptOutcome> endpoints;
+  BoundedRing<PeerMessage> instances;
+  BoundedRing<PlatformOutcome> platform;
+  BoundedRing<OperatorRequest> operators;
+};
+
+// Rings out of it. Their wake functions post a drain to the event loop of the
+// thread that reads them.
+struct DispatcherOutputs {
+  BoundedRing<CallerReply>& callers;
+  BoundedRing<EndpointCommand>& endpoints;
+  BoundedRing<PeerCommand>& instances;
+  BoundedRing<PlatformCommand>& platform;
+  BoundedRing<OperatorReply>& operators;
+};
+
+class DispatcherThread {
+ public:
+  DispatcherThread(std::unique_ptr<Dispatcher> dispatcher,
+                   DispatcherInputs& inputs,
+                   Doorbell& doorbell,
+                   const DispatcherOutputs& outputs,
+                   SharedCallerView& view);
+  ~DispatcherThread();
+  DispatcherThread(const DispatcherThread&) = delete;
+  auto operator=(const DispatcherThread&) -> DispatcherThread& = delete;
+
+  auto Start() -> void;
+  // Asks for a planned stop; safe from any thread.
+  auto RequestDrain() -> void;
+  // Waits until the dispatcher has stopped. True when it was not deposed.
+  auto Join() -> bool;
+
+ private:
+  auto Run() -> void;
+  auto TakeEvents(Outputs& out) -> bool;
+  auto HandOut(Outputs& out) -> bool;
+  auto PublishView() -> void;
+
+  const std::unique_ptr<Dispatcher> dispatcher_;
+  DispatcherInputs& inputs_;
+  Doorbell& doorbell_;
+  Outbox<CallerReply> callers_;
+  Outbox<EndpointCommand> endpoints_;
+  Outbox<PeerCommand> instances_;
+  Outbox<PlatformCommand> platform_;
+  Outbox<OperatorReply> operators_;
+  SharedCallerView& view_;
+  std::atomic<bool> drain_requested_ = false;
+  std::thread thread_;
+};
+
+}  // namespace boragecroft
+
+#endif  // MAIN_DAEMON_DISPATCHER_THREAD_H_
--- a/peers/caller/caller_codec.cc
+++ b/peers/caller/caller_codec.cc
@@ -130,7 +130,8 @@
 }
 
 // Results go in as they came from the endpoints: their text was checked there.
-auto ResultsText(const JobAnswer& answer, int schema_version) -> std::string {
+auto ResultsText(const CallerAnswer& answer, int schema_version)
+    -> std::string {
   std::string text = "[";
   for (size_t i = 0; i < answer.results.size(); ++i) {
     if (i > 0) {
@@ -146,7 +147,7 @@
   return text + "]";
 }
 
-auto TaskStates(const JobAnswer& answer) -> json::array {
+auto TaskStates(const CallerAnswer& answer) -> json::array {
   json::array states;
   for (const auto it : answer.tasks) {
     states.emplace_back(ToString(it));
--- a/peers/endpoint/endpoint_client.cc
+++ b/peers/endpoint/endpoint_client.cc
@@ -1,5 +1,6 @@
 #include "peers/endpoint/endpoint_client.h"
 
+#include <map>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -27,6 +28,8 @@
   boost::asio::io_context& context;
   const std::function<void(AttemptOutcome)> on_outcome;
   std::unordered_map<Address, std::vector<IdleConnection>> idle;
+  std::map<AttemptId, IdleConnection>
+      in_use;  // by the attempt whose answer is awaited
 };
 
 static auto NewConnection(EndpointPool& pool, const Address& endpoint)
@@ -87,12 +90,17 @@
 
 static auto Run(const std::shared_ptr<EndpointPool>& pool,
                 const StartAttempt& start) -> void {
+  auto use = TakeConnection(*pool, start.endpoint);
+  pool->in_use[start.id] = use;
   auto done = [pool,
                id = start.id](const Result<HttpResponse, HttpError>& answer) {
-    pool->on_outcome(DecodeStartAnswer(id, answer));
+    // Without its entry the attempt was abandoned.
+    if (pool->in_use.erase(id) > 0) {
+      pool->on_outcome(DecodeStartAnswer(id, answer));
+    }
   };
-  Exchange(pool, start.endpoint, TakeConnection(*pool, start.endpoint),
-           EncodeStart(start), start.timeout, std::move(done));
+  Exchange(pool, start.endpoint, std::move(use), EncodeStart(start),
+           start.timeout, std::move(done));
 }
 
 static auto Run(const std::shared_ptr<EndpointPool>& pool,
@@ -102,16 +110,28 @@
            [](const Result<HttpResponse, HttpError>&) {});
 }
 
-// A stop settles what a silent connection left open, so it never travels on a
-// connection that may be silent, too.
+// A query settles what a silent connection left open, so it never travels on
+// one that may be silent, too.
 static auto Run(const std::shared_ptr<EndpointPool>& pool,
-                const StopAttempt& stop) -> void {
+                const QueryAttempt& query) -> void {
   auto done = [pool,
-               id = stop.id](const Result<HttpResponse, HttpError>& answer) {
-    pool->on_outcome(DecodeStopAnswer(id, answer));
+               id = query.id](const Result<HttpResponse, HttpError>& answer) {
+    pool->on_outcome(DecodeQueryAnswer(id, answer));
   };
-  Exchange(pool, stop.endpoint, NewConnection(*pool, stop.endpoint),
-           EncodeStop(stop), stop.timeout, std::move(done));
+  Exchange(pool, query.endpoint, NewConnection(*pool, query.endpoint),
+           EncodeQuery(query), query.timeout, std::move(done));
+}
+
+static auto Run(const std::shared_ptr<EndpointPool>& pool,
+                const AbandonAttempt& abandon) -> void {
+  const auto it = pool->in_use.find(abandon.id);
+  if (it == pool->in_use.end()) {
+    return;
+  }
+  const auto use = std::move(it->second);
+  pool->in_use.erase(it);
+  use.connection->Close();
+  RetireElders(*pool, abandon.endpoint, use.opened);
 }
 
 }  // namespace detail
--- a/peers/endpoint/endpoint_codec.cc
+++ b/peers/endpoint/endpoint_codec.cc
@@ -85,6 +85,10 @@
   } else if (state == "not_started" ||
              (state == "refused" && reason == "stopped")) {
     outcome.end = ExchangeEnd::kNotStarted;
+  } else if (state == "running") {
+    outcome.end = ExchangeEnd::kRunning;
+  } else if (state == "unknown") {
+    outcome.end = ExchangeEnd::kNotHeardOf;
   } else {
     return false;
   }
@@ -137,6 +141,8 @@
     case ExchangeEnd::kFailed:
     case ExchangeEnd::kSilent:
     case ExchangeEnd::kProtocol:
+    case ExchangeEnd::kRunning:
+    case ExchangeEnd::kNotHeardOf:
       return false;
   }
   return false;
@@ -157,10 +163,11 @@
   return ToRequest("/v1/leases", json::serialize(body));
 }
 
-auto EncodeStop(const StopAttempt& stop) -> HttpRequest {
+auto EncodeQuery(const QueryAttempt& query) -> HttpRequest {
   json::object body;
-  body["task"] = ToString(stop.id);
-  return ToRequest("/v1/stop", json::serialize(body));
+  body["task"] = ToString(query.id);
+  return ToRequest(query.stop ? "/v1/stop" : "/v1/status",
+                   json::serialize(body));
 }
 
 auto DecodeStartAnswer(const AttemptId& id,
@@ -169,11 +176,11 @@
   return DecodeAnswer(id, answer);
 }
 
-auto DecodeStopAnswer(const AttemptId& id,
-                      const Result<HttpResponse, HttpError>& answer)
+auto DecodeQueryAnswer(const AttemptId& id,
+                       const Result<HttpResponse, HttpError>& answer)
     -> AttemptOutcome {
   auto outcome = DecodeAnswer(id, answer);
-  outcome.from_stop = true;
+  outcome.from_query = true;
   // That the stop itself was not sent says nothing about the attempt, and a
   // refusal is no answer to a stop.
   if (outcome.end == ExchangeEnd::kNotSent ||
--- a/peers/endpoint/endpoint_codec.h
+++ b/peers/endpoint/endpoint_codec.h
@@ -12,15 +12,15 @@
 
 auto EncodeStart(const StartAttempt& start) -> HttpRequest;
 auto EncodeRenewal(const RenewLeases& renewal) -> HttpRequest;
-auto EncodeStop(const StopAttempt& stop) -> HttpRequest;
+auto EncodeQuery(const QueryAttempt& query) -> HttpRequest;
 
 // Turns what came back over HTTP into an outcome. Anything that does not carry
 // the attempt's own id is kProtocol.
 auto DecodeStartAnswer(const AttemptId& id,
                        const Result<HttpResponse, HttpError>& answer)
     -> AttemptOutcome;
-auto DecodeStopAnswer(const AttemptId& id,
-                      const Result<HttpResponse, HttpError>& answer)
+auto DecodeQueryAnswer(const AttemptId& id,
+                       const Result<HttpResponse, HttpError>& answer)
     -> AttemptOutcome;
 
 }  // namespace boragecroft
--- a/peers/endpoint/endpoint_messages.h
+++ b/peers/endpoint/endpoint_messages.h
@@ -46,15 +46,25 @@
   std::vector<AttemptId> ids;
 };
 
-// Stops an attempt and learns for good how far it got. Answered by exactly one
-// AttemptOutcome.
-struct StopAttempt {
+// Asks on a new connection how an attempt stands; with `stop`, also stops it,
+// and the answer then holds for good. Answered by exactly one AttemptOutcome
+// with `from_query`.
+struct QueryAttempt {
   AttemptId id;
   Address endpoint;
+  bool stop = false;
   milliseconds timeout{};
 };
 
-using EndpointCommand = std::variant<StartAttempt, RenewLeases, StopAttempt>;
+// The attempt's connection is known to be silent: ends it, and those opened
+// before it to the same endpoint. Its StartAttempt gets no more outcome.
+struct AbandonAttempt {
+  AttemptId id;
+  Address endpoint;
+};
+
+using EndpointCommand =
+    std::variant<StartAttempt, RenewLeases, QueryAttempt, AbandonAttempt>;
 
 // How one attempt ended, as far as it is known.
 enum class ExchangeEnd : uint8_t {
@@ -64,6 +74,9 @@
   kDraining,    // refused: the endpoint is leaving; did not start
   kCannotRun,   // refused: needs more than the worker has; did not start
   kNotStarted,  // stopped before its start, for good
+  kRunning,     // answers a query: it started and has not ended
+  kNotHeardOf,  // answers a query: not there yet; its start may still be on its
+                // way
   kNotSent,     // no byte of the request was sent; did not start
   kSilent,  // sent, but no answer in time or the connection broke: may have run
   kProtocol,  // the answer breaks the interface or belongs to another task: may
@@ -76,7 +89,7 @@
 struct AttemptOutcome {
   AttemptId id;
   ExchangeEnd end = ExchangeEnd::kSilent;
-  bool from_stop = false;  // answers a StopAttempt
+  bool from_query = false;  // answers a QueryAttempt
   std::string text;
 };
 
--- a/peers/instance/instance_codec.cc
+++ b/peers/instance/instance_codec.cc
@@ -63,7 +63,7 @@
   return out;
 }
 
-auto ToWire(const JobAnswer& it) -> wire::WireAnswer {
+auto ToWire(const CallerAnswer& it) -> wire::WireAnswer {
   wire::WireAnswer out;
   out.id = ToString(it.id);
   out.state = static_cast<int8_t>(it.state);
@@ -78,7 +78,7 @@
   return out;
 }
 
-auto FromWire(wire::WireAnswer& in) -> std::optional<JobAnswer> {
+auto FromWire(wire::WireAnswer& in) -> std::optional<CallerAnswer> {
   const auto id = ParseJobId(in.id);
   const auto state_known =
       in.state >= 0 && in.state <= static_cast<int8_t>(JobState::kRefused);
@@ -86,7 +86,7 @@
       static_cast<size_t>(in.tasks) != in.task_states.size()) {
     return std::nullopt;
   }
-  JobAnswer out;
+  CallerAnswer out;
   out.id = *id;
   out.partner = std::move(in.partner);
   out.state = static_cast<JobState>(in.state);
@@ -276,7 +276,7 @@
       return std::nullopt;
     }
     return AnswerReply{
-        .answer = std::make_shared<const JobAnswer>(std::move(*answer))};
+        .answer = std::make_shared<const CallerAnswer>(std::move(*answer))};
   }
   if (in.outcome == kRefusalOutcome && in.refusal >= 0 &&
       in.refusal <= static_cast<int8_t>(Refusal::kNotReady)) {
--- a/peers/platform/platform_codec.cc
+++ b/peers/platform/platform_codec.cc
@@ -82,6 +82,7 @@
       static_cast<uint32_t>(reader.WholeOr("memory_mb", kAnyCount, 0));
   worker.capacity.accelerators =
       static_cast<uint32_t>(reader.WholeOr("accelerators", kAnyCount, 0));
+  worker.incarnation = reader.TextOr("incarnation", "");
   worker.leaving = reader.Choice("state", {"live", "leaving"}) == 1;
   return worker;
 }
@@ -97,6 +98,9 @@
 
 auto DecodeList(ObjectReader& reader) -> InstanceList {
   InstanceList list;
+  if (reader.Has("as_of_ms")) {
+    list.as_of = WallTime(milliseconds(reader.Whole("as_of_ms", kAnyVersion)));
+  }
   reader.Each("instances", [&](ObjectReader& it) {
     if (it.Choice("kind", {"entry", "worker"}) == 1) {
       list.workers.push_back(DecodeWorker(it));
--- a/servers/admission/admission.h
+++ b/servers/admission/admission.h
@@ -12,7 +12,7 @@
 namespace boragecroft {
 
 // What is expected of one task's run time.
-struct RunTimeEstimate {
+struct RunTimeForecast {
   microseconds expected{};
   // Relative error that must be reckoned with, from 0 (well known) to 1 (a
   // guess).
@@ -23,7 +23,7 @@
 struct AdmissionInput {
   uint32_t task_count = 0;
   milliseconds deadline{};  // from now
-  RunTimeEstimate run_time;
+  RunTimeForecast run_time;
 
   // Slots that this instance may fill at the same time; 0 when no worker is
   // known.
--- /dev/null
+++ b/servers/dispatcher/account_flow.cc
@@ -0,0 +1,194 @@
+#include <algorithm>
+#include <utility>
+
+#include "servers/dispatcher/operator_flow.h"
+#include "servers/dispatcher/record_flow.h"
+#include "servers/ledger/account.h"
+#include "servers/ledger/incarnation_row.h"
+#include "servers/ledger/keys.h"
+#include "servers/ledger/segment.h"
+
+namespace boragecroft {
+namespace {
+
+namespace json = boost::json;
+
+constexpr uint32_t kPageRows = 100;
+constexpr std::string_view kIncarnationPrefix = "incarnation/";
+
+// One account under way: incarnation by incarnation, segments before addenda.
+struct OpenAccount {
+  uint64_t number = 0;
+  ShowAccount show;
+  std::vector<IncarnationRow> rows;
+  size_t next = 0;
+  IncarnationAccount current;
+  bool in_addenda = false;
+  std::map<std::string, AccountTotals> totals;  // by partner
+};
+
+using AccountPtr = std::shared_ptr<OpenAccount>;
+
+auto Fail(Step& step, const OpenAccount& account) -> void {
+  OperatorReply reply;
+  reply.number = account.number;
+  reply.status = 503;
+  reply.body = {{"error", {{"code", "platform_unavailable"}}}};
+  step.out.operators.push_back(std::move(reply));
+}
+
+auto Add(AccountTotals& sum, const AccountTotals& it) -> void {
+  sum.submissions += it.submissions;
+  sum.done += it.done;
+  sum.failed += it.failed;
+  sum.refused += it.refused;
+  sum.undecided += it.undecided;
+  sum.tasks_done += it.tasks_done;
+  sum.tasks_failed += it.tasks_failed;
+  sum.tasks_not_run += it.tasks_not_run;
+  sum.tasks_may_have_run += it.tasks_may_have_run;
+  sum.done_after_all += it.done_after_all;
+}
+
+auto RowOf(const std::string& partner, const AccountTotals& totals)
+    -> json::object {
+  json::object row;
+  row["partner"] = partner;
+  row["submissions"] = totals.submissions;
+  row["done"] = totals.done;
+  row["failed"] = totals.failed;
+  row["refused"] = totals.refused;
+  row["undecided"] = totals.undecided;
+  row["tasks_done"] = totals.tasks_done;
+  row["tasks_failed"] = totals.tasks_failed;
+  row["tasks_not_run"] = totals.tasks_not_run;
+  row["tasks_may_have_run"] = totals.tasks_may_have_run;
+  row["done_after_all"] = totals.done_after_all;
+  return row;
+}
+
+auto Conclude(Step& step, const OpenAccount& account) -> void {
+  json::array rows;
+  for (const auto& it : account.totals) {
+    rows.push_back(RowOf(it.first, it.second));
+  }
+  OperatorReply reply;
+  reply.number = account.number;
+  reply.body = {{"rows", std::move(rows)}};
+  step.out.operators.push_back(std::move(reply));
+}
+
+// The account's period is one step of this length, so that each line falls into
+// it or not.
+constexpr milliseconds kPeriod = std::chrono::minutes(1);
+
+auto FinishIncarnation(OpenAccount& account) -> void {
+  for (const auto& it :
+       TotalsOf(account.current, account.rows[account.next], kPeriod)) {
+    const auto wanted =
+        account.show.partner.empty() || account.show.partner == it.partner;
+    if (wanted && it.period_start + kPeriod > account.show.from &&
+        it.period_start <= account.show.to) {
+      Add(account.totals[it.partner], it.totals);
+    }
+  }
+  account.current = IncarnationAccount();
+  account.in_addenda = false;
+  ++account.next;
+}
+
+auto ScanLedger(Step& step, const AccountPtr& account, std::string after)
+    -> void;
+
+auto TakeRows(OpenAccount& account, const std::vector<TableRow>& rows) -> void {
+  for (const auto& it : rows) {
+    const auto segment = ParseSegment(it.value);
+    if (segment.has_error()) {
+      continue;
+    }
+    if (account.in_addenda) {
+      AddAddendum(account.current, segment.value(), account.show.to);
+    } else {
+      AddSegment(account.current, segment.value(),
+                 ParseSegmentTime(it.key).value_or(WallTime()));
+    }
+  }
+}
+
+auto OnPage(Step& step,
+            const AccountPtr& account,
+            const std::vector<TableRow>& rows) -> void {
+  TakeRows(*account, rows);
+  if (rows.size() >= kPageRows) {
+    ScanLedger(step, account, rows.back().key);
+    return;
+  }
+  if (!account->in_addenda) {
+    account->in_addenda = true;
+    ScanLedger(step, account, "");
+    return;
+  }
+  FinishIncarnation(*account);
+  ScanLedger(step, account, "");
+}
+
+auto ScanLedger(Step& step, const AccountPtr& account, std::string after)
+    -> void {
+  if (account->next >= account->rows.size()) {
+    Conclude(step, *account);
+    return;
+  }
+  const auto incarnation = account->rows[account->next].incarnation;
+  TableScan scan;
+  scan.prefix = account->in_addenda ? AddendumPrefix(incarnation)
+                                    : LedgerPrefix(incarnation);
+  scan.after = std::move(after);
+  scan.limit = kPageRows;
+  CallPlatform(
+      step, std::move(scan), [account](Step& then, PlatformOutcome& outcome) {
+        if (const auto* page = std::get_if<ScannedRows>(&outcome.result)) {
+          OnPage(then, account, page->rows);
+        } else {
+          Fail(then, *account);
+        }
+      });
+}
+
+auto ScanIncarnations(Step& step, const AccountPtr& account, std::string after)
+    -> void {
+  TableScan scan;
+  scan.prefix = kIncarnationPrefix;
+  scan.after = std::move(after);
+  scan.limit = kPageRows;
+  CallPlatform(step, std::move(scan),
+               [account](Step& then, PlatformOutcome& outcome) {
+                 const auto* page = std::get_if<ScannedRows>(&outcome.result);
+                 if (page == nullptr) {
+                   Fail(then, *account);
+                   return;
+                 }
+                 for (const auto& it : page->rows) {
+                   auto row = ParseIncarnationRow(it);
+                   if (row.has_value()) {
+                     account->rows.push_back(std::move(row).value());
+                   }
+                 }
+                 if (page->rows.size() >= kPageRows) {
+                   ScanIncarnations(then, account, page->rows.back().key);
+                   return;
+                 }
+                 ScanLedger(then, account, "");
+               });
+}
+
+}  // namespace
+
+auto OnShowAccount(Step& step, uint64_t number, const ShowAccount& show)
+    -> void {
+  auto account = std::make_shared<OpenAccount>();
+  account->number = number;
+  account->show = show;
+  ScanIncarnations(step, account, "");
+}
+
+}  // namespace boragecroft
--- a/servers/dispatcher/caller_messages.h
+++ b/servers/dispatcher/caller_messages.h
@@ -64,7 +64,7 @@
 };
 
 // How a job stands. Shared, since many callers may wait for the same one.
-struct JobAnswer {
+struct CallerAnswer {
   JobId id;
   int schema_version = 2;
   std::string partner;
@@ -76,7 +76,7 @@
 };
 
 struct AnswerReply {
-  std::shared_ptr<const JobAnswer> answer;
+  std::shared_ptr<const CallerAnswer> answer;
 };
 
 // Nothing of the request ran.
--- /dev/null
+++ b/servers/dispatcher/claiming.h
@@ -0,0 +1,16 @@
+// Submissions under the caller's own key: the key is claimed in the platform's
+// table before anything starts.
+#ifndef SERVERS_DISPATCHER_CLAIMING_H_
+#define SERVERS_DISPATCHER_CLAIMING_H_
+
+#include "servers/dispatcher/state.h"
+
+namespace boragecroft {
+
+// Claims the key of the submission for a new id, or finds the id that it stands
+// for, and goes on with that.
+auto ClaimKeyOf(Step& step, CallerRequest request) -> void;
+
+}  // namespace boragecroft
+
+#endif  // SERVERS_DISPATCHER_CLAIMING_H_
--- /dev/null
+++ b/servers/dispatcher/configuration_flow.h
@@ -0,0 +1,30 @@
+// Keeps the configuration in force up to date: polls the platform, exchanges
+// with other instances, serves operators.
+#ifndef SERVERS_DISPATCHER_CONFIGURATION_FLOW_H_
+#define SERVERS_DISPATCHER_CONFIGURATION_FLOW_H_
+
+#include "servers/dispatcher/state.h"
+
+namespace boragecroft {
+
+// Polls and notices pauses; call at each tick.
+auto TendConfiguration(Step& step) -> void;
+
+// A peer has `version` in force.
+auto NotePeerVersion(Step& step, const PeerInstance& peer, uint64_t version)
+    -> void;
+auto OnConfigurationRequest(Step& step,
+                            Incarnation from,
+                            const ConfigurationRequest& request) -> void;
+auto OnConfigurationTransfer(Step& step,
+                             Incarnation from,
+                             const ConfigurationTransfer& transfer) -> void;
+
+// Writes an operator's document under its conditions and replies once it is
+// settled.
+auto OnApplyConfiguration(Step& step, uint64_t number, ApplyConfiguration apply)
+    -> void;
+
+}  // namespace boragecroft
+
+#endif  // SERVERS_DISPATCHER_CONFIGURATION_FLOW_H_
--- /dev/null
+++ b/servers/dispatcher/dispatcher.cc
@@ -0,0 +1,165 @@
+#include "servers/dispatcher/dispatcher.h"
+
+#include <utility>
+
+#include "servers/dispatcher/admitting.h"
+#include "servers/dispatcher/configuration_flow.h"
+#include "servers/dispatcher/draining.h"
+#include "servers/dispatcher/job_table.h"
+#include "servers/dispatcher/membership_flow.h"
+#include "servers/dispatcher/owner_routing.h"
+#include "servers/dispatcher/record_flow.h"
+#include "servers/dispatcher/task_flow.h"
+
+namespace boragecroft {
+namespace {
+
+constexpr milliseconds kTickInterval{10};
+
+auto MakeRow(const DispatcherSettings& settings,
+             Incarnation self,
+             const Now& now) -> IncarnationRow {
+  IncarnationRow row;
+  row.incarnation = self;
+  row.instance = settings.instance;
+  row.zone = settings.zone;
+  row.address = ToString(settings.peer_address);
+  row.started = now.wall;
+  row.operation_id = ToString(self) + "-open";
+  return row;
+}
+
+auto MakeMembership(const DispatcherSettings& settings,
+                    Incarnation self,
+                    const Now& now) -> Membership {
+  Membership membership;
+  membership.settings = settings.membership;
+  membership.name = settings.instance;
+  membership.zone = settings.zone;
+  membership.address = settings.peer_address;
+  membership.self = self;
+  membership.started = now.boot;
+  AddSeedPeers(membership, settings.seed_peers, now.boot);
+  return membership;
+}
+
+auto Failed(const PlatformOutcome& outcome) -> bool {
+  if (const auto* table = std::get_if<TableOutcome>(&outcome.result)) {
+    return table->kind == TableOutcomeKind::kUnavailable ||
+           table->kind == TableOutcomeKind::kUnknown;
+  }
+  return std::holds_alternative<PlatformError>(outcome.result);
+}
+
+auto Take(Step& step, Incarnation from, Heartbeat& heartbeat) -> void {
+  OnHeartbeat(step, from, heartbeat);
+}
+
+auto Take(Step& step, Incarnation from, RelayRequest& request) -> void {
+  OnRelayRequest(step, from, std::move(request));
+}
+
+auto Take(Step& step, Incarnation /*from*/, RelayReply& reply) -> void {
+  OnRelayReply(step, std::move(reply));
+}
+
+auto Take(Step& step, Incarnation from, ConfigurationRequest& request) -> void {
+  OnConfigurationRequest(step, from, request);
+}
+
+auto Take(Step& step, Incarnation from, ConfigurationTransfer& transfer)
+    -> void {
+  OnConfigurationTransfer(step, from, transfer);
+}
+
+}  // namespace
+
+auto InForce(const Dispatcher& dispatcher) -> const Configuration* {
+  const auto& in_force = dispatcher.configuration.in_force;
+  return in_force == nullptr ? nullptr : &in_force->configuration;
+}
+
+auto MakeDispatcher(DispatcherSettings settings,
+                    Incarnation self,
+                    uint64_t seed,
+                    const Now& now) -> std::unique_ptr<Dispatcher> {
+  auto dispatcher = std::make_unique<Dispatcher>();
+  dispatcher->self = self;
+  dispatcher->started = now;
+  dispatcher->random.seed(seed);
+  dispatcher->mint.incarnation = self;
+  dispatcher->mint.started = now;
+  dispatcher->mint.newest_minted = now.wall;
+  dispatcher->ledger =
+      MakeLedgerWriter(settings.ledger, MakeRow(settings, self, now), now);
+  dispatcher->membership = MakeMembership(settings, self, now);
+  std::vector<std::string> sources;
+  for (const auto& it : settings.seed_peers) {
+    sources.push_back(ToString(it));
+  }
+  dispatcher->configuration =
+      StartConfiguration(settings.configuration, sources, now);
+  dispatcher->next_configuration_poll = now.boot;
+  dispatcher->next_list_poll = now.boot;
+  dispatcher->next_share = now.boot;
+  dispatcher->last_tick = now.boot;
+  dispatcher->settings = std::move(settings);
+  return dispatcher;
+}
+
+auto OnPeerMessage(Step& step, PeerMessage message) -> void {
+  std::visit([&](auto& body) { Take(step, message.from, body); }, message.body);
+}
+
+auto OnPlatformOutcome(Step& step, PlatformOutcome outcome) -> void {
+  auto& dispatcher = step.dispatcher;
+  const auto it = dispatcher.platform_calls.find(outcome.token);
+  if (it == dispatcher.platform_calls.end()) {
+    return;
+  }
+  if (Failed(outcome)) {
+    ++dispatcher.counters.platform_failures;
+  }
+  const auto then = std::move(it->second);
+  dispatcher.platform_calls.erase(it);
+  then(step, outcome);
+}
+
+auto Advance(Step& step) -> void {
+  auto& dispatcher = step.dispatcher;
+  // Leases and configuration are settled before anything more is started: this
+  // may be the first step after a pause.
+  if (step.now.boot - dispatcher.last_tick >= kTickInterval) {
+    dispatcher.last_tick = step.now.boot;
+    TendConfiguration(step);
+    TendMembership(step);
+    ExpireJobs(step);
+    ExpireRelays(step);
+    ForgetRefusals(step);
+    TendAttempts(step);
+    TendDrain(step);
+    DropSettled(dispatcher.mint, RecordedThrough(dispatcher.ledger, step.now),
+                step.now);
+  }
+  StartTasks(step);
+  PumpLedger(step);
+}
+
+auto MakeCallerView(const Dispatcher& dispatcher, const Now& now)
+    -> std::shared_ptr<const CallerView> {
+  auto view = std::make_shared<CallerView>();
+  const auto& in_force = dispatcher.configuration.in_force;
+  if (in_force != nullptr) {
+    view->configuration = std::shared_ptr<const Configuration>(
+        in_force, &in_force->configuration);
+  }
+  view->accepting =
+      dispatcher.drain < DrainPhase::kFinishing && !dispatcher.deposed;
+  view->ready = view->accepting && dispatcher.drain == DrainPhase::kServing &&
+                !dispatcher.membership.leaving_by_list &&
+                ReadyToServe(dispatcher.configuration, now) &&
+                !dispatcher.fleet.workers.empty();
+  return view;
+}
+
+}  // namespace boragecroft
--- /dev/null
+++ b/servers/dispatcher/dispatcher.h
@@ -0,0 +1,42 @@
+// Puts the decisions together: what one instance does about each event. Pure:
+// events, time and entropy come in, commands for the other threads go out.
+#ifndef SERVERS_DISPATCHER_DISPATCHER_H_
+#define SERVERS_DISPATCHER_DISPATCHER_H_
+
+#include <memory>
+
+#include "servers/dispatcher/caller_view.h"
+#include "servers/dispatcher/state.h"
+
+namespace boragecroft {
+
+// `self` must never have been used before; `seed` feeds all later random
+// choices.
+auto MakeDispatcher(DispatcherSettings settings,
+                    Incarnation self,
+                    uint64_t seed,
+                    const Now& now) -> std::unique_ptr<Dispatcher>;
+
+auto OnCallerRequest(Step& step, CallerRequest request) -> void;
+auto OnAttemptOutcome(Step& step, const AttemptOutcome& outcome) -> void;
+auto OnPeerMessage(Step& step, PeerMessage message) -> void;
+auto OnPlatformOutcome(Step& step, PlatformOutcome outcome) -> void;
+auto OnOperatorRequest(Step& step, OperatorRequest request) -> void;
+
+// Begins a planned stop.
+auto BeginDrain(Step& step) -> void;
+
+// Does what is due. Call after each batch of events, and at least every 10 ms.
+auto Advance(Step& step) -> void;
+
+// True when the process may end: everything was answered and recorded, or the
+// time for it is over.
+auto IsStopped(const Dispatcher& dispatcher) -> bool;
+
+// What the callers' thread may know now.
+auto MakeCallerView(const Dispatcher& dispatcher, const Now& now)
+    -> std::shared_ptr<const CallerView>;
+
+}  // namespace boragecroft
+
+#endif  // SERVERS_DISPATCHER_DISPATCHER_H_
--- /dev/null
+++ b/servers/dispatcher/job_table.cc
@@ -0,0 +1,240 @@
+#include "servers/dispatcher/job_table.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/log/log.h"
+#include "servers/dispatcher/record_flow.h"
+#include "servers/dispatcher/replies.h"
+#include "servers/dispatcher/task_flow.h"
+
+namespace boragecroft {
+namespace {
+
+auto MakeAnswer(const Job& job, bool recorded)
+    -> std::shared_ptr<CallerAnswer> {
+  auto answer = std::make_shared<CallerAnswer>();
+  answer->id = job.submission->id;
+  answer->schema_version = job.submission->schema_version;
+  answer->partner = job.submission->partner;
+  answer->state = job.state;
+  answer->recorded = recorded;
+  answer->reason = job.reason;
+  answer->tasks = job.tasks;
+  return answer;
+}
+
+auto MustHoldAnswer(const Step& step, const Job& job) -> bool {
+  const auto* configuration = InForce(step.dispatcher);
+  const auto* declared =
+      configuration == nullptr
+          ? nullptr
+          : FindClass(*configuration, job.submission->urgency_class);
+  return declared != nullptr && declared->record_before_answer &&
+         !job.final_durable && !step.dispatcher.deposed &&
+         !IsPlatformSuspect(step.dispatcher.ledger, step.now);
+}
+
+auto AnswerWaiters(Step& step, Job& job) -> void {
+  for (const auto& it : std::exchange(job.waiters, {})) {
+    Reply(step, it.reply_to, AnswerReply{.answer = job.answer});
+  }
+}
+
+auto FinalState(const Job& job) -> JobState {
+  const auto all_done =
+      std::all_of(job.tasks.begin(), job.tasks.end(),
+                  [](TaskState state) { return state == TaskState::kDone; });
+  return all_done ? JobState::kDone : JobState::kFailed;
+}
+
+// What ran stands in the record even when the answer must agree with one that
+// was derived without this owner.
+auto FinishJob(Step& step, Job& job) -> void {
+  auto& dispatcher = step.dispatcher;
+  const auto& id = job.submission->id;
+  job.state = FinalState(job);
+  job.finished = step.now.boot;
+  RecordFinal(step, job);
+  if (dispatcher.deposed) {
+    job.state = JobState::kFailed;
+    job.reason = kReasonDeposed;
+  }
+  auto answer = MakeAnswer(job, false);
+  if (job.state == JobState::kDone) {
+    answer->results = std::move(job.results);
+    ++dispatcher.counters.jobs_done;
+  } else {
+    ++dispatcher.counters.jobs_failed;
+  }
+  job.results = {};
+  job.answer = std::move(answer);
+  dispatcher.deadlines.erase({job.deadline, id});
+  const auto* configuration = InForce(dispatcher);
+  const auto retention = configuration == nullptr
+                             ? Limits().answer_retention
+                             : configuration->limits.answer_retention;
+  dispatcher.finished.emplace_back(step.now.boot + retention, id);
+  if (!MustHoldAnswer(step, job)) {
+    AnswerWaiters(step, job);
+  }
+}
+
+auto EndWait(Step& step, const JobId& id, const ReplyTo& reply_to) -> void {
+  const auto found = step.dispatcher.jobs.find(id);
+  if (found == step.dispatcher.jobs.end()) {
+    return;
+  }
+  auto& job = found->second;
+  const auto it = std::find_if(
+      job.waiters.begin(), job.waiters.end(), [&](const JobWaiter& waiter) {
+        return waiter.reply_to.number == reply_to.number &&
+               waiter.reply_to.relay == reply_to.relay;
+      });
+  if (it == job.waiters.end()) {
+    return;
+  }
+  job.waiters.erase(it);
+  // A final answer that was held for its record goes out unrecorded.
+  Reply(
+      step, reply_to,
+      AnswerReply{.answer = job.answer ? job.answer : MakeAnswer(job, false)});
+}
+
+auto ExpireWaits(Step& step) -> void {
+  auto& waits = step.dispatcher.waits;
+  while (!waits.empty() && waits.begin()->first <= step.now.boot) {
+    const auto [id, reply_to] = waits.begin()->second;
+    waits.erase(waits.begin());
+    EndWait(step, id, reply_to);
+  }
+}
+
+auto ForgetAnswers(Step& step) -> void {
+  auto& dispatcher = step.dispatcher;
+  while (!dispatcher.finished.empty() &&
+         dispatcher.finished.front().first <= step.now.boot) {
+    const auto id = dispatcher.finished.front().second;
+    const auto it = dispatcher.jobs.find(id);
+    // Until its record is durable, memory is the only place that knows how the
+    // job ended.
+    if (it != dispatcher.jobs.end() && !it->second.final_durable) {
+      return;
+    }
+    dispatcher.jobs.erase(id);
+    dispatcher.finished.pop_front();
+  }
+}
+
+}  // namespace
+
+auto TakeJob(Step& step,
+             std::shared_ptr<const Submission> submission,
+             uint32_t class_index) -> Job& {
+  auto& dispatcher = step.dispatcher;
+  const auto id = submission->id;
+  auto& job = dispatcher.jobs[id];
+  job.submission = std::move(submission);
+  job.class_index = class_index;
+  job.accepted = step.now.boot;
+  job.deadline = step.now.boot + job.submission->deadline;
+  job.tasks.assign(job.submission->payloads.size(), TaskState::kQueued);
+  job.results.resize(job.tasks.size());
+  job.open_tasks = static_cast<uint32_t>(job.tasks.size());
+  dispatcher.deadlines.emplace(job.deadline, id);
+  ++dispatcher.counters.jobs_accepted;
+  RecordAccepted(step, job);
+  QueueJob(step, job);
+  return job;
+}
+
+auto AwaitJob(Step& step, Job& job, const ReplyTo& reply_to, milliseconds wait)
+    -> void {
+  const auto held = job.answer != nullptr && MustHoldAnswer(step, job);
+  const auto limit =
+      held ? std::max(wait, step.dispatcher.settings.answer_hold) : wait;
+  if ((job.answer != nullptr && !held) ||
+      (job.answer == nullptr && wait.count() == 0)) {
+    Reply(step, reply_to,
+          AnswerReply{.answer =
+                          job.answer ? job.answer : MakeAnswer(job, false)});
+    return;
+  }
+  const auto until = step.now.boot + limit;
+  job.waiters.push_back(JobWaiter{.reply_to = reply_to, .until = until});
+  step.dispatcher.waits.emplace(until, std::pair(job.submission->id, reply_to));
+}
+
+auto EndTask(Step& step, const TaskId& task, TaskState state, std::string text)
+    -> void {
+  const auto found = step.dispatcher.jobs.find(task.job);
+  if (found == step.dispatcher.jobs.end() ||
+      IsFinal(found->second.tasks[task.index])) {
+    return;
+  }
+  auto& job = found->second;
+  job.tasks[task.index] = state;
+  --job.open_tasks;
+  if (state == TaskState::kDone) {
+    job.results[task.index] = std::move(text);
+  } else if (!job.stopping) {
+    if (state == TaskState::kMayHaveRun) {
+      ++step.dispatcher.counters.tasks_may_have_run;
+    }
+    StopJob(step, task.job,
+            "task " + std::to_string(task.index) + " " +
+                std::string(ToString(state)) + ": " + text);
+  }
+  if (job.open_tasks == 0 && job.state == JobState::kActive) {
+    FinishJob(step, job);
+  }
+}
+
+auto StopJob(Step& step, const JobId& id, std::string_view reason) -> void {
+  const auto found = step.dispatcher.jobs.find(id);
+  if (found == step.dispatcher.jobs.end() || found->second.stopping ||
+      found->second.state != JobState::kActive) {
+    return;
+  }
+  auto& job = found->second;
+  job.stopping = true;
+  job.reason = reason;
+  UnqueueJob(step, job);
+  StopRunningTasks(step, job);
+  for (auto& it : job.tasks) {
+    if (it == TaskState::kQueued) {
+      it = TaskState::kNotRun;
+      --job.open_tasks;
+    }
+  }
+  if (job.open_tasks == 0) {
+    FinishJob(step, job);
+  }
+}
+
+auto NoteFinalDurable(Step& step, const JobId& id) -> void {
+  const auto found = step.dispatcher.jobs.find(id);
+  if (found == step.dispatcher.jobs.end() || found->second.final_durable) {
+    return;
+  }
+  auto& job = found->second;
+  job.final_durable = true;
+  // Shared with replies under way, so the recorded answer is a new one.
+  auto recorded = std::make_shared<CallerAnswer>(*job.answer);
+  recorded->recorded = true;
+  job.answer = std::move(recorded);
+  AnswerWaiters(step, job);
+}
+
+auto ExpireJobs(Step& step) -> void {
+  auto& deadlines = step.dispatcher.deadlines;
+  while (!deadlines.empty() && deadlines.begin()->first <= step.now.boot) {
+    const auto id = deadlines.begin()->second;
+    deadlines.erase(deadlines.begin());
+    StopJob(step, id, kReasonDeadline);
+  }
+  ExpireWaits(step);
+  ForgetAnswers(step);
+}
+
+}  // namespace boragecroft
--- /dev/null
+++ b/servers/dispatcher/membership_flow.cc
@@ -0,0 +1,207 @@
+#include "servers/dispatcher/membership_flow.h"
+
+#include <utility>
+
+#include "core/log/log.h"
+#include "servers/dispatcher/admitting.h"
+#include "servers/dispatcher/configuration_flow.h"
+#include "servers/dispatcher/record_flow.h"
+#include "servers/dispatcher/task_settlement.h"
+
+namespace boragecroft {
+namespace {
+
+constexpr milliseconds kShareInterval{250};
+
+auto ToListed(const PlatformWorker& worker, const Configuration* configuration)
+    -> ListedWorker {
+  const auto* service = configuration == nullptr
+                            ? nullptr
+                            : FindService(*configuration, worker.service);
+  ListedWorker listed;
+  listed.service = worker.service;
+  listed.name = worker.name;
+  listed.address = worker.address;
+  listed.incarnation = worker.incarnation;
+  if (service != nullptr) {
+    listed.slots = service->slots_per_worker;
+    listed.connections = service->connections_per_worker;
+  }
+  if (worker.slots > 0) {
+    listed.slots = worker.slots;
+  }
+  listed.capacity = worker.capacity;
+  listed.leaving = worker.leaving;
+  return listed;
+}
+
+auto ForgetWorkers(Dispatcher& dispatcher, const ListChange& change) -> void {
+  for (const auto& it : change.removed) {
+    ForgetWorker(dispatcher.judge, it);
+  }
+}
+
+auto SetPoolSizes(Dispatcher& dispatcher) -> void {
+  for (const auto& it : dispatcher.fleet.by_service) {
+    SetPoolSize(dispatcher.judge, it.first,
+                static_cast<uint32_t>(it.second.size()));
+  }
+}
+
+auto ApplyList(Step& step, const InstanceList& list) -> void {
+  auto& dispatcher = step.dispatcher;
+  ApplyInstanceList(dispatcher.membership, list.instances, step.now.boot);
+  WorkerList workers;
+  workers.as_of = list.as_of.value_or(step.now.wall);
+  for (const auto& it : list.workers) {
+    if (it.zone == dispatcher.settings.zone) {
+      workers.workers.push_back(ToListed(it, InForce(dispatcher)));
+    }
+  }
+  ForgetWorkers(dispatcher,
+                ApplyWorkerList(dispatcher.fleet, workers, step.now));
+  SetPoolSizes(dispatcher);
+}
+
+auto PollList(Step& step) -> void {
+  CallPlatform(step, ListInstances{}, [](Step& then, PlatformOutcome& outcome) {
+    if (const auto* list = std::get_if<InstanceList>(&outcome.result)) {
+      ApplyList(then, *list);
+    }
+  });
+}
+
+auto SlotsInUse(const ServiceState& service) -> uint32_t {
+  uint64_t tasks = service.queue.backlog.tasks;
+  for (uint32_t i = 0; i < service.queue.classes.size(); ++i) {
+    tasks += InProgress(service.queue, i);
+  }
+  return static_cast<uint32_t>(std::min<uint64_t>(tasks, UINT32_MAX));
+}
+
+auto ServiceDemands(Step& step) -> std::vector<Demand> {
+  std::vector<Demand> demands;
+  for (auto& [name, service] : step.dispatcher.services) {
+    demands.push_back(Demand{
+        .name = name,
+        .tasks = UpdateDemand(service.demand, SlotsInUse(service), step.now)});
+  }
+  return demands;
+}
+
+auto MakeHeartbeat(const Dispatcher& dispatcher,
+                   const PeerInstance& peer,
+                   std::vector<Demand> demands) -> Heartbeat {
+  Heartbeat heartbeat;
+  heartbeat.instance = dispatcher.settings.instance;
+  heartbeat.zone = dispatcher.settings.zone;
+  heartbeat.address = dispatcher.settings.peer_address;
+  heartbeat.sequence = peer.sent_sequence;
+  heartbeat.configuration_version =
+      static_cast<uint64_t>(VersionInForce(dispatcher.configuration));
+  heartbeat.leaving =
+      dispatcher.drain != DrainPhase::kServing || dispatcher.deposed;
+  heartbeat.echo_incarnation = peer.incarnation;
+  heartbeat.echo_sequence = peer.heard_sequence;
+  if (peer.zone == dispatcher.settings.zone) {
+    heartbeat.service_demands = std::move(demands);
+  }
+  return heartbeat;
+}
+
+auto SendHeartbeats(Step& step) -> void {
+  auto& dispatcher = step.dispatcher;
+  const auto due = TakeDueHeartbeats(dispatcher.membership, step.now.boot);
+  if (due.empty()) {
+    return;
+  }
+  const auto demands = ServiceDemands(step);
+  for (const auto index : due) {
+    const auto& peer = dispatcher.membership.peers[index];
+    PeerMessage message;
+    message.from = dispatcher.self;
+    message.body = MakeHeartbeat(dispatcher, peer, demands);
+    step.out.peers.emplace_back(
+        SendToPeer{.to = peer.address, .message = std::move(message)});
+    ++dispatcher.counters.heartbeats_sent;
+  }
+}
+
+auto DemandOf(const std::vector<Demand>& demands, const std::string& name)
+    -> uint32_t {
+  for (const auto& it : demands) {
+    if (it.name == name) {
+      return it.tasks;
+    }
+  }
+  return 0;
+}
+
+// Derives this instance's share of the zone's slots from what the instances
+// report.
+auto ShareFleet(Step& step) -> void {
+  auto& dispatcher = step.dispatcher;
+  const auto peers = ReachableZonePeers(dispatcher.membership, step.now.boot);
+  for (auto& [name, service] : dispatcher.services) {
+    std::vector<InstanceDemand> demands;
+    demands.push_back(InstanceDemand{.instance = dispatcher.settings.instance,
+                                     .slots = service.demand.reported});
+    for (const auto* it : peers) {
+      demands.push_back(InstanceDemand{
+          .instance = it->name, .slots = DemandOf(it->service_demands, name)});
+    }
+    AllotSlots(dispatcher.fleet, name, std::move(demands),
+               dispatcher.settings.instance);
+  }
+  for (auto& it : dispatcher.fleet.workers) {
+    it.speed = WorkerSpeed(dispatcher.estimates, it.id) *
+               StragglerWeight(dispatcher.judge, it.id, step.now);
+  }
+}
+
+auto ResetSilentConnections(Step& step) -> void {
+  auto& membership = step.dispatcher.membership;
+  for (const auto index : TakeSilentConnections(membership, step.now.boot)) {
+    const auto& peer = membership.peers[index];
+    Log(LogLevel::kWarning, "peer_connection_silent",
+        {{"peer", peer.name}, {"address", ToString(peer.address)}});
+    step.out.peers.emplace_back(ResetPeerConnection{.to = peer.address});
+  }
+}
+
+}  // namespace
+
+auto TendMembership(Step& step) -> void {
+  auto& dispatcher = step.dispatcher;
+  if (step.now.boot >= dispatcher.next_list_poll) {
+    dispatcher.next_list_poll =
+        step.now.boot + dispatcher.settings.list_poll_interval;
+    PollList(step);
+  }
+  if (step.now.boot >= dispatcher.next_share) {
+    dispatcher.next_share = step.now.boot + kShareInterval;
+    ShareFleet(step);
+    ShareQuotas(step);
+    ResetSilentConnections(step);
+  }
+  SendHeartbeats(step);
+}
+
+auto OnHeartbeat(Step& step, Incarnation from, const Heartbeat& heartbeat)
+    -> void {
+  auto& dispatcher = step.dispatcher;
+  ++dispatcher.counters.heartbeats_received;
+  const auto replaced =
+      NoteHeartbeat(dispatcher.membership, from, heartbeat, step.now.boot);
+  if (replaced) {
+    Log(LogLevel::kInfo, "instance_replaced",
+        {{"peer", heartbeat.instance},
+         {"old", ToString(*replaced)},
+         {"new", ToString(from)}});
+  }
+  if (const auto* peer = FindPeer(dispatcher.membership, from)) {
+    NotePeerVersion(step, *peer, heartbeat.configuration_version);
+  }
+}
+
+}  // namespace boragecroft
--- /dev/null
+++ b/servers/dispatcher/membership_flow.h
@@ -0,0 +1,22 @@
+// Heartbeats, the platform's list, and what the instances of a zone share:
+// slots and quotas.
+#ifndef SERVERS_DISPATCHER_MEMBERSHIP_FLOW_H_
+#define SERVERS_DISPATCHER_MEMBERSHIP_FLOW_H_
+
+#include "servers/dispatcher/state.h"
+
+namespace boragecroft {
+
+// Polls the list, sends due heartbeats and renews the shares; call at each
+// tick.
+auto TendMembership(Step& step) -> void;
+
+// Renews this instance's shares of the teams' quotas.
+auto ShareQuotas(Step& step) -> void;
+
+auto OnHeartbeat(Step& step, Incarnation from, const Heartbeat& heartbeat)
+    -> void;
+
+}  // namespace boragecroft
+
+#endif  // SERVERS_DISPATCHER_MEMBERSHIP_FLOW_H_
--- /dev/null
+++ b/servers/dispatcher/operator_flow.h
@@ -0,0 +1,24 @@
+// Operators' requests: jobs, account, instances, a dump of the whole state.
+#ifndef SERVERS_DISPATCHER_OPERATOR_FLOW_H_
+#define SERVERS_DISPATCHER_OPERATOR_FLOW_H_
+
+#include "servers/dispatcher/state.h"
+
+namespace boragecroft {
+
+// Adds up the records of all incarnations and replies.
+auto OnShowAccount(Step& step, uint64_t number, const ShowAccount& show)
+    -> void;
+
+// Everything that this instance holds, in numbers and lists short enough to
+// read.
+auto DumpOf(const Dispatcher& dispatcher, const Now& now)
+    -> boost::json::object;
+auto InstancesOf(const Dispatcher& dispatcher, const Now& now)
+    -> boost::json::object;
+auto CountersOf(const Dispatcher& dispatcher) -> boost::json::object;
+auto JobSummary(const Job& job, const Now& now) -> boost::json::object;
+
+}  // namespace boragecroft
+
+#endif  // SERVERS_DISPATCHER_OPERATOR_FLOW_H_
--- /dev/null
+++ b/servers/dispatcher/replies.h
@@ -0,0 +1,28 @@
+// Replies to callers, whether they wait here or at the instance that relayed
+// their request.
+#ifndef SERVERS_DISPATCHER_REPLIES_H_
+#define SERVERS_DISPATCHER_REPLIES_H_
+
+#include <string>
+
+#include "servers/dispatcher/state.h"
+
+namespace boragecroft {
+
+// How long a caller should wait before it asks again about something undecided.
+inline constexpr milliseconds kUndecidedRetry{500};
+// The same after a refusal that time may lift.
+inline constexpr milliseconds kRefusalRetry{200};
+
+auto Reply(Step& step, const ReplyTo& reply_to, CallerReplyBody body) -> void;
+auto ReplyRefused(Step& step,
+                  const ReplyTo& reply_to,
+                  Refusal refusal,
+                  std::string reason,
+                  milliseconds retry_after) -> void;
+auto ReplyUndecided(Step& step, const ReplyTo& reply_to, std::string reason)
+    -> void;
+
+}  // namespace boragecroft
+
+#endif  // SERVERS_DISPATCHER_REPLIES_H_
--- /dev/null
+++ b/servers/dispatcher/submitting.cc
@@ -0,0 +1,230 @@
+#include "servers/dispatcher/submitting.h"
+
+#include <utility>
+
+#include "servers/admission/admission.h"
+#include "servers/dispatcher/admitting.h"
+#include "servers/dispatcher/claiming.h"
+#include "servers/dispatcher/dispatcher.h"
+#include "servers/dispatcher/job_table.h"
+#include "servers/dispatcher/owner_routing.h"
+#include "servers/dispatcher/record_flow.h"
+#include "servers/dispatcher/replies.h"
+
+namespace boragecroft {
+namespace {
+
+// Why this instance takes no submission at the moment, if so.
+auto FindObstacle(const Step& step) -> std::optional<RefusalReply> {
+  const auto& dispatcher = step.dispatcher;
+  if (!ReadyToServe(dispatcher.configuration, step.now)) {
+    return RefusalReply{.refusal = Refusal::kNotReady,
+                        .reason = "the configuration in force is not known yet",
+                        .retry_after = kRefusalRetry};
+  }
+  if (dispatcher.deposed || dispatcher.drain >= DrainPhase::kFinishing) {
+    return RefusalReply{.refusal = Refusal::kDraining,
+                        .reason = "this instance is stopping",
+                        .retry_after = kRefusalRetry};
+  }
+  if (IsOverBound(dispatcher.ledger)) {
+    return RefusalReply{.refusal = Refusal::kOverloaded,
+                        .reason = "too many records wait for the platform",
+                        .retry_after = kRefusalRetry};
+  }
+  return std::nullopt;
+}
+
+auto ReplyObstacle(Step& step,
+                   const ReplyTo& reply_to,
+                   const RefusalReply& obstacle) -> void {
+  ReplyRefused(step, reply_to, obstacle.refusal, obstacle.reason,
+               obstacle.retry_after);
+}
+
+// What a refusal of an id says that can't be submitted any more.
+auto RefusalFor(IdVerdict verdict) -> RefusalReply {
+  switch (verdict) {
+    case IdVerdict::kExpired:
+      return RefusalReply{.refusal = Refusal::kIdExpired,
+                          .reason = "the id outlived its term unused"};
+    case IdVerdict::kWrongPartner:
+      return RefusalReply{.refusal = Refusal::kWrongPartner,
+                          .reason = "the id was minted for another partner"};
+    default:
+      return RefusalReply{.refusal = Refusal::kIdNotMinted,
+                          .reason = "this id was never minted"};
+  }
+}
+
+auto OnMint(Step& step, const ReplyTo& reply_to, const MintRequest& mint)
+    -> void {
+  auto& dispatcher = step.dispatcher;
+  if (const auto obstacle = FindObstacle(step)) {
+    ReplyObstacle(step, reply_to, *obstacle);
+    return;
+  }
+  if (FindPartner(*InForce(dispatcher), mint.partner) == nullptr) {
+    ReplyRefused(step, reply_to, Refusal::kUnknownPartner,
+                 "no such partner: " + mint.partner, {});
+    return;
+  }
+  MintReply reply;
+  reply.first = Mint(dispatcher.mint, mint.partner, mint.count, step.now);
+  reply.count = mint.count;
+  reply.term = dispatcher.mint.term;
+  dispatcher.counters.ids_minted += mint.count;
+  Reply(step, reply_to, reply);
+}
+
+auto TakeId(Step& step, const JobId& id) -> bool {
+  auto& dispatcher = step.dispatcher;
+  if (id.incarnation == dispatcher.self) {
+    return MarkUsed(dispatcher.mint, id, step.now);
+  }
+  return Insert(dispatcher.adopted[id.incarnation],
+                SequenceRange{.first = id.sequence, .last = id.sequence}) == 1;
+}
+
+auto TakeSubmission(Step& step,
+                    const ReplyTo& reply_to,
+                    const SubmitRequest& submit) -> void {
+  if (const auto obstacle = FindObstacle(step)) {
+    ReplyObstacle(step, reply_to, *obstacle);
+    return;
+  }
+  const auto& submission = *submit.submission;
+  if (!TakeId(step, submission.id)) {
+    ReplyUndecided(step, reply_to, "the id was just taken");
+    return;
+  }
+  const auto verdict = AdmitSubmission(step, submission);
+  if (verdict.refusal) {
+    RecordRefusal(step, submission.partner, submission.id, *verdict.refusal);
+    RememberRefusal(step, submission, *verdict.refusal);
+    ReplyRefused(step, reply_to, *verdict.refusal, verdict.reason,
+                 verdict.retry_after);
+    return;
+  }
+  auto& job = TakeJob(step, submit.submission, verdict.class_index);
+  AwaitJob(step, job, reply_to, submit.wait);
+}
+
+auto VerdictOf(const Dispatcher& dispatcher,
+               const JobId& id,
+               const std::string& partner,
+               const Now& now) -> IdVerdict {
+  if (id.incarnation == dispatcher.self) {
+    return CheckId(dispatcher.mint, id, partner, now);
+  }
+  // A stopped instance's batches are not known here: its ledger said that the
+  // id was never used, and the term is the same.
+  const auto& used = dispatcher.adopted.at(id.incarnation);
+  if (Contains(used, id.sequence)) {
+    return IdVerdict::kBelowRetained;
+  }
+  return now.wall - id.minted > dispatcher.mint.term ? IdVerdict::kExpired
+                                                     : IdVerdict::kFresh;
+}
+
+// Requests about an id that is not in memory.
+auto ServeAbsent(Step& step, const CallerRequest& request) -> void {
+  const auto id = IdOf(request.call);
+  const auto verdict =
+      VerdictOf(step.dispatcher, id, PartnerOf(request.call), step.now);
+  switch (verdict) {
+    case IdVerdict::kFresh:
+      if (const auto* submit = std::get_if<SubmitRequest>(&request.call)) {
+        TakeSubmission(step, request.reply_to, *submit);
+        return;
+      }
+      ReplyRefused(step, request.reply_to, Refusal::kIdNotMinted,
+                   "nothing was submitted under this id", {});
+      return;
+    case IdVerdict::kUsed:
+    case IdVerdict::kBelowRetained:
+      LookUp(step, request);
+      return;
+    default: {
+      const auto refusal = RefusalFor(verdict);
+      ReplyRefused(step, request.reply_to, refusal.refusal, refusal.reason, {});
+    }
+  }
+}
+
+auto ServeJob(Step& step, Job& job, const CallerRequest& request) -> void {
+  if (PartnerOf(request.call) != job.submission->partner) {
+    ReplyRefused(step, request.reply_to, Refusal::kWrongPartner,
+                 "the id belongs to another partner", {});
+    return;
+  }
+  milliseconds wait{};
+  if (const auto* submit = std::get_if<SubmitRequest>(&request.call)) {
+    ++step.dispatcher.counters.resubmissions;
+    wait = submit->wait;
+  } else if (const auto* fetch = std::get_if<FetchRequest>(&request.call)) {
+    wait = fetch->wait;
+  } else {
+    ++step.dispatcher.counters.jobs_cancelled;
+    StopJob(step, job.submission->id, kReasonCancelled);
+  }
+  AwaitJob(step, job, request.reply_to, wait);
+}
+
+}  // namespace
+
+auto IdOf(const CallerCall& call) -> JobId {
+  if (const auto* submit = std::get_if<SubmitRequest>(&call)) {
+    return submit->submission->id;
+  }
+  if (const auto* fetch = std::get_if<FetchRequest>(&call)) {
+    return fetch->id;
+  }
+  const auto* cancel = std::get_if<CancelRequest>(&call);
+  return cancel == nullptr ? JobId() : cancel->id;
+}
+
+auto PartnerOf(const CallerCall& call) -> const std::string& {
+  if (const auto* submit = std::get_if<SubmitRequest>(&call)) {
+    return submit->submission->partner;
+  }
+  if (const auto* fetch = std::get_if<FetchRequest>(&call)) {
+    return fetch->partner;
+  }
+  if (const auto* cancel = std::get_if<CancelRequest>(&call)) {
+    return cancel->partner;
+  }
+  return std::get<MintRequest>(call).partner;
+}
+
+auto ServeOwnRequest(Step& step, const CallerRequest& request) -> void {
+  const auto id = IdOf(request.call);
+  const auto found = step.dispatcher.jobs.find(id);
+  if (found != step.dispatcher.jobs.end()) {
+    ServeJob(step, found->second, request);
+    return;
+  }
+  const auto refused = step.dispatcher.refused.find(id);
+  if (refused != step.dispatcher.refused.end() &&
+      refused->second.partner == PartnerOf(request.call)) {
+    ReplyRefused(step, request.reply_to, refused->second.refusal,
+                 "this id was refused", {});
+    return;
+  }
+  ServeAbsent(step, request);
+}
+
+auto OnCallerRequest(Step& step, CallerRequest request) -> void {
+  if (const auto* mint = std::get_if<MintRequest>(&request.call)) {
+    OnMint(step, request.reply_to, *mint);
+    return;
+  }
+  const auto* submit = std::get_if<SubmitRequest>(&request.call);
+  if (submit != nullptr && !submit->caller_key.empty()) {
+    ClaimKeyOf(step, std::move(request));
+    return;
+  }
+  RouteRequest(step, std::move(request));
+}
+
+}  // namespace boragecroft
--- /dev/null
+++ b/servers/membership/membership.cc
@@ -0,0 +1,242 @@
+#include "servers/membership/membership.h"
+
+#include <algorithm>
+
+namespace boragecroft {
+namespace {
+
+constexpr size_t kMaxReplaced = 4096;
+
+auto FindByAddress(Membership& membership, const Address& address)
+    -> PeerInstance* {
+  const auto it = std::find_if(
+      membership.peers.begin(), membership.peers.end(),
+      [&](const PeerInstance& peer) { return peer.address == address; });
+  return it == membership.peers.end() ? nullptr : &*it;
+}
+
+auto AddPeer(Membership& membership, const Address& address, Instant now)
+    -> PeerInstance& {
+  auto& peer = membership.peers.emplace_back();
+  peer.address = address;
+  peer.last_listed = now;
+  peer.next_heartbeat = now;
+  peer.echo_progress = now;
+  return peer;
+}
+
+auto IsReplaced(const Membership& membership, Incarnation incarnation) -> bool {
+  return std::any_of(membership.replaced.begin(), membership.replaced.end(),
+                     [&](const ReplacedIncarnation& it) {
+                       return it.incarnation == incarnation;
+                     });
+}
+
+auto Replace(Membership& membership,
+             PeerInstance& peer,
+             Incarnation incarnation,
+             Instant now) -> std::optional<Incarnation> {
+  const auto old = peer.incarnation;
+  peer.incarnation = incarnation;
+  peer.heard_sequence = 0;
+  peer.echoed_sequence = 0;
+  peer.echo_progress = now;
+  if (old.value == 0) {
+    return std::nullopt;
+  }
+  if (membership.replaced.size() >= kMaxReplaced) {
+    membership.replaced.erase(membership.replaced.begin());
+  }
+  membership.replaced.push_back(
+      ReplacedIncarnation{.incarnation = old, .since = now});
+  return old;
+}
+
+// Neither listed nor heard for so long that heartbeats to it are a waste.
+auto IsForgettable(const Membership& membership,
+                   const PeerInstance& peer,
+                   Instant now) -> bool {
+  const auto limit = membership.settings.dead_after;
+  const auto unheard = !peer.last_heard || now - *peer.last_heard > limit;
+  return !peer.listed && unheard && now - peer.last_listed > limit;
+}
+
+}  // namespace
+
+auto AddSeedPeers(Membership& membership,
+                  const std::vector<Address>& seeds,
+                  Instant now) -> void {
+  for (const auto& it : seeds) {
+    if (it != membership.address && FindByAddress(membership, it) == nullptr) {
+      AddPeer(membership, it, now);
+    }
+  }
+}
+
+auto ApplyInstanceList(Membership& membership,
+                       const std::vector<PlatformInstance>& list,
+                       Instant now) -> void {
+  const auto own = std::find_if(
+      list.begin(), list.end(),
+      [&](const PlatformInstance& it) { return it.name == membership.name; });
+  if (own == list.end()) {
+    return;
+  }
+  membership.list_applied = now;
+  membership.leaving_by_list = own->leaving;
+  for (auto& it : membership.peers) {
+    it.listed = false;
+  }
+  for (const auto& it : list) {
+    if (it.name == membership.name || it.address == membership.address) {
+      continue;
+    }
+    auto* peer = FindByAddress(membership, it.address);
+    auto& entry =
+        peer != nullptr ? *peer : AddPeer(membership, it.address, now);
+    entry.name = it.name;
+    entry.zone = it.zone;
+    entry.leaving = it.leaving;
+    entry.listed = true;
+    entry.last_listed = now;
+  }
+  std::erase_if(membership.peers, [&](const PeerInstance& it) {
+    return IsForgettable(membership, it, now);
+  });
+}
+
+auto NoteHeartbeat(Membership& membership,
+                   Incarnation from,
+                   const Heartbeat& heartbeat,
+                   Instant now) -> std::optional<Incarnation> {
+  if (from == membership.self || heartbeat.address == membership.address ||
+      IsReplaced(membership, from)) {
+    return std::nullopt;
+  }
+  auto* known = FindByAddress(membership, heartbeat.address);
+  auto& peer =
+      known != nullptr ? *known : AddPeer(membership, heartbeat.address, now);
+  std::optional<Incarnation> replaced;
+  if (peer.incarnation != from) {
+    replaced = Replace(membership, peer, from, now);
+  } else if (heartbeat.sequence <= peer.heard_sequence) {
+    return std::nullopt;
+  }
+  peer.name = heartbeat.instance;
+  peer.zone = heartbeat.zone;
+  peer.last_heard = now;
+  peer.heard_sequence = heartbeat.sequence;
+  peer.leaving = heartbeat.leaving;
+  peer.configuration_version = heartbeat.configuration_version;
+  peer.service_demands = heartbeat.service_demands;
+  peer.team_demands = heartbeat.team_demands;
+  if (heartbeat.echo_incarnation == membership.self &&
+      heartbeat.echo_sequence > peer.echoed_sequence) {
+    peer.echoed_sequence = heartbeat.echo_sequence;
+    peer.echo_progress = now;
+  }
+  return replaced;
+}
+
+auto TakeDueHeartbeats(Membership& membership, Instant now)
+    -> std::vector<size_t> {
+  std::vector<size_t> due;
+  for (size_t i = 0; i < membership.peers.size(); ++i) {
+    auto& peer = membership.peers[i];
+    if (now < peer.next_heartbeat) {
+      continue;
+    }
+    const auto local = peer.zone.empty() || peer.zone == membership.zone;
+    const auto& settings = membership.settings;
+    peer.next_heartbeat = now + (local ? settings.zone_heartbeat_interval
+                                       : settings.remote_heartbeat_interval);
+    ++peer.sent_sequence;
+    due.push_back(i);
+  }
+  return due;
+}
+
+auto TakeSilentConnections(Membership& membership, Instant now)
+    -> std::vector<size_t> {
+  std::vector<size_t> silent;
+  for (size_t i = 0; i < membership.peers.size(); ++i) {
+    auto& peer = membership.peers[i];
+    const auto local = peer.zone == membership.zone;
+    const auto& settings = membership.settings;
+    const auto limit =
+        settings.silent_after +
+        (local ? milliseconds(0) : settings.remote_heartbeat_interval * 2);
+    if (IsReachable(membership, peer, now) &&
+        now - peer.echo_progress > limit) {
+      peer.echo_progress = now;
+      silent.push_back(i);
+    }
+  }
+  return silent;
+}
+
+auto FindPeer(const Membership& membership, Incarnation incarnation)
+    -> const PeerInstance* {
+  const auto it = std::find_if(membership.peers.begin(), membership.peers.end(),
+                               [&](const PeerInstance& peer) {
+                                 return peer.incarnation == incarnation;
+                               });
+  return it == membership.peers.end() ? nullptr : &*it;
+}
+
+auto IsReachable(const Membership& membership,
+                 const PeerInstance& peer,
+                 Instant now) -> bool {
+  if (!peer.last_heard) {
+    return false;
+  }
+  const auto& settings = membership.settings;
+  const auto local = peer.zone == membership.zone;
+  const auto limit =
+      settings.silent_after +
+      (local ? milliseconds(0) : settings.remote_heartbeat_interval);
+  return now - *peer.last_heard <= limit;
+}
+
+auto ReachableZonePeers(const Membership& membership, Instant now)
+    -> std::vector<const PeerInstance*> {
+  std::vector<const PeerInstance*> peers;
+  for (const auto& it : membership.peers) {
+    if (it.zone == membership.zone && !it.leaving &&
+        IsReachable(membership, it, now)) {
+      peers.push_back(&it);
+    }
+  }
+  return peers;
+}
+
+auto IsGone(const Membership& membership,
+            Incarnation incarnation,
+            const std::string& instance,
+            const Address& address,
+            Instant now) -> bool {
+  if (IsReplaced(membership, incarnation)) {
+    return true;
+  }
+  if (instance == membership.name || address == membership.address) {
+    return incarnation != membership.self;
+  }
+  const auto limit = membership.settings.dead_after;
+  const auto list_is_fresh =
+      membership.list_applied && now - *membership.list_applied < limit;
+  const auto watched_long_enough = now - membership.started > limit;
+  for (const auto& it : membership.peers) {
+    if (it.address != address && (instance.empty() || it.name != instance)) {
+      continue;
+    }
+    const auto heard = it.last_heard && now - *it.last_heard < limit;
+    if (heard && it.incarnation.value != 0 && it.incarnation != incarnation) {
+      return true;
+    }
+    const auto listed = now - it.last_listed < limit;
+    return !heard && !listed && list_is_fresh && watched_long_enough;
+  }
+  return list_is_fresh && watched_long_enough;
+}
+
+}  // namespace boragecroft
--- /dev/null
+++ b/servers/membership/membership.h
@@ -0,0 +1,120 @@
+// Which other instances exist, which of them can be reached now, and which
+// incarnations are certainly gone. The platform's list says who exists;
+// heartbeats say who can be reached. Nothing here decides whether a task may
+// start.
+#ifndef SERVERS_MEMBERSHIP_MEMBERSHIP_H_
+#define SERVERS_MEMBERSHIP_MEMBERSHIP_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/base/address.h"
+#include "core/base/clock.h"
+#include "core/base/ids.h"
+#include "servers/dispatcher/peer_messages.h"
+#include "servers/model/worker.h"
+
+namespace boragecroft {
+
+struct MembershipSettings {
+  milliseconds zone_heartbeat_interval{500};
+  milliseconds remote_heartbeat_interval{
+      4000};                        // to instances in other availability zones
+  milliseconds silent_after{2000};  // missed heartbeats before a peer of the
+                                    // zone counts as out of reach
+  milliseconds dead_after{30000};  // unheard and unlisted for so long: gone for
+                                   // good, as far as records go
+};
+
+struct PeerInstance {
+  std::string name;  // empty until the list or a heartbeat names it
+  std::string zone;
+  Address address;
+  Incarnation incarnation;  // zero until heard
+  bool leaving = false;
+  bool listed = false;
+  Instant last_listed;
+  std::optional<Instant> last_heard;
+  Instant next_heartbeat;
+  uint64_t sent_sequence = 0;
+  uint64_t heard_sequence = 0;
+  uint64_t echoed_sequence =
+      0;  // the newest of our heartbeats that the peer says it heard
+  Instant echo_progress;  // when that last grew
+  uint64_t configuration_version = 0;
+  std::vector<Demand> service_demands;
+  std::vector<Demand> team_demands;
+};
+
+// An incarnation that a newer one replaced at the same address.
+struct ReplacedIncarnation {
+  Incarnation incarnation;
+  Instant since;
+};
+
+struct Membership {
+  MembershipSettings settings;
+  std::string name;
+  std::string zone;
+  Address address;
+  Incarnation self;
+  Instant started;
+  std::optional<Instant>
+      list_applied;  // the last list that named this instance
+  bool leaving_by_list = false;
+  std::vector<PeerInstance> peers;
+  std::vector<ReplacedIncarnation> replaced;
+};
+
+auto AddSeedPeers(Membership& membership,
+                  const std::vector<Address>& seeds,
+                  Instant now) -> void;
+
+// Takes the platform's list. An empty one, or one that does not name this
+// instance, changes nothing: it is broken or far behind.
+auto ApplyInstanceList(Membership& membership,
+                       const std::vector<PlatformInstance>& list,
+                       Instant now) -> void;
+
+// Takes a heartbeat. Returns the incarnation that it shows to be replaced, if
+// any. A heartbeat that was overtaken by a newer one of the same incarnation,
+// or that comes from a replaced incarnation, changes nothing.
+auto NoteHeartbeat(Membership& membership,
+                   Incarnation from,
+                   const Heartbeat& heartbeat,
+                   Instant now) -> std::optional<Incarnation>;
+
+// Indices of the peers that are due a heartbeat; marks them as served.
+auto TakeDueHeartbeats(Membership& membership, Instant now)
+    -> std::vector<size_t>;
+
+// Indices of peers that are heard but do not hear this instance: the connection
+// to them has gone silent. Each is reported once per silence.
+auto TakeSilentConnections(Membership& membership, Instant now)
+    -> std::vector<size_t>;
+
+auto FindPeer(const Membership& membership, Incarnation incarnation)
+    -> const PeerInstance*;
+auto IsReachable(const Membership& membership,
+                 const PeerInstance& peer,
+                 Instant now) -> bool;
+
+// The peers of the own availability zone that can be reached and are not
+// leaving.
+auto ReachableZonePeers(const Membership& membership, Instant now)
+    -> std::vector<const PeerInstance*>;
+
+// Whether an incarnation has certainly ended or will be treated so in the
+// records: a newer one stands at its address, or neither the list nor a
+// heartbeat has shown its instance for `dead_after`.
+auto IsGone(const Membership& membership,
+            Incarnation incarnation,
+            const std::string& instance,
+            const Address& address,
+            Instant now) -> bool;
+
+}  // namespace boragecroft
+
+#endif  // SERVERS_MEMBERSHIP_MEMBERSHIP_H_
--- a/servers/model/worker.h
+++ b/servers/model/worker.h
@@ -2,6 +2,7 @@
 #ifndef SERVERS_MODEL_WORKER_H_
 #define SERVERS_MODEL_WORKER_H_
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,8 @@
   Address address;
   uint32_t slots = 0;
   Needs capacity;
+  std::string incarnation;  // changes when the endpoint restarts; empty when
+                            // the list has none
   bool leaving = false;
 };
 
@@ -31,6 +34,8 @@
 
 // One reading of the platform's list, which lags behind what is true.
 struct InstanceList {
+  std::optional<WallTime>
+      as_of;  // when the platform made it; empty when it does not say
   std::vector<PlatformInstance> instances;
   std::vector<PlatformWorker> workers;
 };
--- /dev/null
+++ b/tests/lab/cluster.cc
@@ -0,0 +1,277 @@
+#include "tests/lab/cluster.h"
+
+#include <signal.h>
+
+#include <algorithm>
+#include <boost/json/serialize.hpp>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+#include <thread>
+
+#include "core/json/text.h"
+
+namespace boragecroft::lab {
+namespace {
+
+constexpr milliseconds kStartTimeout{15000};
+constexpr milliseconds kPoll{20};
+constexpr milliseconds kStopTimeout{10000};
+
+auto Program(const std::string& name) -> std::string {
+  return std::string(BORAGECROFT_BIN) + "/" + name;
+}
+
+auto Loopback(int64_t port) -> Address {
+  return Address{.ip = "127.0.0.1", .port = static_cast<uint16_t>(port)};
+}
+
+auto MakeFolder() -> std::string {
+  auto pattern =
+      (std::filesystem::temp_directory_path() / "boragecroft-lab-XXXXXX")
+          .string();
+  if (mkdtemp(pattern.data()) == nullptr) {
+    throw std::runtime_error("cannot make a temporary folder");
+  }
+  return pattern;
+}
+
+auto LastNumber(const std::string& line) -> int64_t {
+  return std::stoll(line.substr(line.rfind(' ') + 1));
+}
+
+auto Require(const std::string& line, const std::string& what) -> std::string {
+  if (line.empty()) {
+    throw std::runtime_error("no sign of life: " + what);
+  }
+  return line;
+}
+
+auto SettingsText(const Instance& instance,
+                  const std::string& deployment,
+                  const Address& platform,
+                  const std::vector<Address>& seeds,
+                  const std::string& extra) -> std::string {
+  std::stringstream out;
+  out << "{\"instance\": \"" << instance.name << "\", \"availability_zone\": \""
+      << instance.zone << "\", \"deployment\": \"" << deployment
+      << "\",\n \"listen_callers\": \"" << ToString(instance.callers)
+      << "\", \"listen_instances\": \"" << ToString(instance.instances)
+      << "\", \"listen_operators\": \"" << ToString(instance.operators)
+      << "\",\n \"platform\": \"" << ToString(platform) << "\"";
+  out << ",\n \"seed_instances\": [";
+  for (size_t i = 0; i < seeds.size(); ++i) {
+    out << (i == 0 ? "" : ", ") << "\"" << ToString(seeds[i]) << "\"";
+  }
+  out << "]" << (extra.empty() ? "" : ",\n " + extra) << "}\n";
+  return out.str();
+}
+
+auto BaseTask(const std::string& attempt) -> std::string {
+  return attempt.substr(0, attempt.find('#'));
+}
+
+}  // namespace
+
+Cluster::Cluster(ClusterOptions options)
+    : options_(std::move(options)), folder_(MakeFolder()) {
+  StartPlatform();
+  StartEndpoints();
+  for (const auto& zone : options_.zones) {
+    for (auto i = 0; i < options_.instances_per_zone; ++i) {
+      auto& instance = instances_.emplace_back();
+      instance.name = zone + "-" + std::to_string(i + 1);
+      instance.zone = zone;
+      instance.callers = instance.instances = instance.operators = Loopback(0);
+      StartInstance(instance);
+    }
+  }
+  PublishList();
+  const auto declarations = options_.declarations_file.empty()
+                                ? std::string(BORAGECROFT_DEPLOY) + "/" +
+                                      options_.deployment +
+                                      "/declarations.jsonc"
+                                : options_.declarations_file;
+  if (Apply(declarations) != 0) {
+    throw std::runtime_error("the declarations were not applied");
+  }
+  for (size_t i = 0; i < instances_.size(); ++i) {
+    if (!WaitUntilReady(i)) {
+      throw std::runtime_error("not ready: " + instances_[i].name);
+    }
+  }
+}
+
+Cluster::~Cluster() {
+  for (auto& it : instances_) {
+    it.process->Signal(SIGCONT);
+    it.process->Kill();
+  }
+  std::error_code ec;
+  std::filesystem::remove_all(folder_, ec);
+}
+
+auto Cluster::Instances() -> std::vector<Instance>& {
+  return instances_;
+}
+
+auto Cluster::Endpoints() -> std::vector<EndpointZone>& {
+  return endpoints_;
+}
+
+auto Cluster::Platform(const std::string& zone) const -> Address {
+  return platform_addresses_.at(zone);
+}
+
+auto Cluster::ControlPlatform(const boost::json::object& control) -> void {
+  Post(platform_addresses_.begin()->second, "/control", control);
+}
+
+auto Cluster::ControlWorker(size_t zone, const boost::json::object& control)
+    -> void {
+  Post(endpoints_.at(zone).control, "/control", control);
+}
+
+auto Cluster::Restart(size_t index, bool wait_until_ready) -> void {
+  auto& instance = instances_.at(index);
+  instance.process->Kill();
+  StartInstance(instance);
+  if (wait_until_ready && !WaitUntilReady(index)) {
+    throw std::runtime_error("not ready again: " + instance.name);
+  }
+}
+
+auto Cluster::WaitUntilReady(size_t index, milliseconds timeout) -> bool {
+  const auto end = BootClock::now() + timeout;
+  while (BootClock::now() < end) {
+    if (Get(instances_.at(index).callers, "/readyz", seconds(1)).status ==
+        200) {
+      return true;
+    }
+    std::this_thread::sleep_for(kPoll);
+  }
+  return false;
+}
+
+auto Cluster::PublishList(const std::vector<std::string>& leaving) -> void {
+  const auto state = [&](const std::string& name) {
+    return std::find(leaving.begin(), leaving.end(), name) == leaving.end()
+               ? "live"
+               : "leaving";
+  };
+  boost::json::array list;
+  for (const auto& it : instances_) {
+    list.push_back({{"kind", "entry"},
+                    {"name", it.name},
+                    {"zone", it.zone},
+                    {"state", state(it.name)},
+                    {"address", ToString(it.instances)}});
+  }
+  for (const auto& zone : endpoints_) {
+    for (const auto& it : zone.listed) {
+      auto entry = it.as_object();
+      entry["state"] = state(std::string(entry.at("name").as_string()));
+      list.push_back(std::move(entry));
+    }
+  }
+  boost::json::object body;
+  body["instances"] = std::move(list);
+  Post(platform_addresses_.begin()->second, "/list", body);
+}
+
+auto Cluster::Apply(const std::string& file, size_t index) -> int {
+  ChildProcess ctl({Program("boragecroftctl"), "--instance",
+                    ToString(instances_.at(index).operators), "apply", file},
+                   folder_ + "/ctl.log");
+  return ctl.Wait(kStartTimeout).value_or(-1);
+}
+
+auto Cluster::CountStarts() -> StartCounts {
+  StartCounts counts;
+  for (const auto& zone : endpoints_) {
+    const auto reply = Get(zone.control, "/starts", seconds(60));
+    if (!reply.body.is_object()) {
+      throw std::runtime_error("the endpoints of " + zone.zone +
+                               " do not answer");
+    }
+    for (const auto& it : reply.body.at("tasks").as_array()) {
+      const auto starts = it.at("starts").to_number<int>();
+      if (starts == 0) {
+        continue;
+      }
+      const auto task = BaseTask(std::string(it.at("task").as_string()));
+      counts.starts[task] += starts;
+      counts.state[task] = it.at("state").as_string();
+      counts.total += starts;
+    }
+  }
+  for (const auto& it : counts.starts) {
+    counts.double_starts += it.second > 1 ? 1 : 0;
+  }
+  return counts;
+}
+
+auto Cluster::Folder() const -> const std::string& {
+  return folder_;
+}
+
+auto Cluster::StartPlatform() -> void {
+  std::vector<std::string> command = {Program("platform_standin")};
+  command.insert(command.end(), options_.zones.begin(), options_.zones.end());
+  platform_ =
+      std::make_unique<ChildProcess>(command, folder_ + "/platform.log");
+  Require(platform_->WaitForLine("ready", kStartTimeout), "platform stand-in");
+  for (const auto& it : options_.zones) {
+    platform_addresses_[it] =
+        Loopback(LastNumber(platform_->WaitForLine(it + " ", kStartTimeout)));
+  }
+}
+
+auto Cluster::StartEndpoints() -> void {
+  for (const auto& zone : options_.zones) {
+    EndpointZone endpoints;
+    endpoints.zone = zone;
+    endpoints.process = std::make_unique<ChildProcess>(
+        std::vector<std::string>{Program("endpoint_standin"), zone,
+                                 options_.service,
+                                 std::to_string(options_.workers_per_zone),
+                                 std::to_string(options_.slots)},
+        folder_ + "/endpoints-" + zone + ".log");
+    Require(endpoints.process->WaitForLine("ready", kStartTimeout),
+            "endpoint stand-in");
+    endpoints.control = Loopback(
+        LastNumber(endpoints.process->WaitForLine("control", kStartTimeout)));
+    endpoints.listed =
+        ParseJson(endpoints.process->WaitForLine("[{", kStartTimeout))
+            .value()
+            .as_array();
+    endpoints_.push_back(std::move(endpoints));
+  }
+}
+
+auto Cluster::StartInstance(Instance& instance) -> void {
+  const auto base = folder_ + "/" + instance.name;
+  std::vector<Address> seeds;
+  for (const auto& it : instances_) {
+    if (it.instances.port != 0 && it.name != instance.name) {
+      seeds.push_back(it.instances);
+    }
+  }
+  std::ofstream(base + ".json") << SettingsText(
+      instance, options_.deployment, platform_addresses_.at(instance.zone),
+      seeds, options_.extra_settings);
+  instance.process = std::make_unique<ChildProcess>(
+      std::vector<std::string>{Program("boragecroftd"), "--settings",
+                               base + ".json"},
+      base + ".log");
+  const auto line =
+      Require(instance.process->WaitForLine("\"listening\"", kStartTimeout),
+              instance.name);
+  const auto listening = ParseJson(line).value();
+  instance.callers = Loopback(listening.at("callers").to_number<int64_t>());
+  instance.instances = Loopback(listening.at("instances").to_number<int64_t>());
+  instance.operators = Loopback(listening.at("operators").to_number<int64_t>());
+}
+
+}  // namespace boragecroft::lab
--- /dev/null
+++ b/tests/lab/cluster.h
@@ -0,0 +1,104 @@
+// A small deployment of real processes on loopback: the platform's stand-in,
+// one endpoint stand-in and some daemons for each availability zone.
+#ifndef TESTS_LAB_CLUSTER_H_
+#define TESTS_LAB_CLUSTER_H_
+
+#include <boost/json/array.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/base/address.h"
+#include "tests/lab/child_process.h"
+#include "tests/lab/sync_client.h"
+
+namespace boragecroft::lab {
+
+struct ClusterOptions {
+  std::string deployment = "cartas";  // names a folder of deploy/
+  std::vector<std::string> zones = {"bilbao", "santander", "oviedo"};
+  std::string service = "cartas";
+  int instances_per_zone = 1;
+  int workers_per_zone = 4;
+  int slots = 8;
+  // Members added to every daemon's settings, as JSON text without braces:
+  // "\"dead_after_ms\": 2000".
+  std::string extra_settings;
+  std::string declarations_file;  // empty: that of the deployment
+};
+
+struct Instance {
+  std::string name;
+  std::string zone;
+  Address callers;
+  Address instances;
+  Address operators;
+  std::unique_ptr<ChildProcess> process;
+};
+
+struct EndpointZone {
+  std::string zone;
+  Address control;
+  boost::json::array listed;  // its entries in the platform's list
+  std::unique_ptr<ChildProcess> process;
+};
+
+// Tasks that endpoints started, added up over the attempts of a task.
+struct StartCounts {
+  std::map<std::string, int> starts;  // by task id without its attempt
+  std::map<std::string, std::string>
+      state;  // how the last started attempt ended
+  int total = 0;
+  int double_starts = 0;  // tasks that started more than once
+};
+
+class Cluster {
+ public:
+  // Starts everything, applies the declarations and waits until each instance
+  // is ready. Throws std::runtime_error when something does not start.
+  explicit Cluster(ClusterOptions options);
+  ~Cluster();
+  Cluster(const Cluster&) = delete;
+  auto operator=(const Cluster&) -> Cluster& = delete;
+
+  auto Instances() -> std::vector<Instance>&;
+  auto Endpoints() -> std::vector<EndpointZone>&;
+  // The platform's control address as `zone` sees it.
+  auto Platform(const std::string& zone) const -> Address;
+  // Sets the behaviour of the platform towards a zone ("*": all); see the
+  // stand-in.
+  auto ControlPlatform(const boost::json::object& control) -> void;
+  auto ControlWorker(size_t zone, const boost::json::object& control) -> void;
+
+  // Starts a new process for an instance at the same addresses and waits until
+  // it is ready, unless told otherwise.
+  auto Restart(size_t index, bool wait_until_ready = true) -> void;
+  auto WaitUntilReady(size_t index, milliseconds timeout = seconds(15)) -> bool;
+  // Publishes the platform's list anew; instances and workers named in
+  // `leaving` are marked so.
+  auto PublishList(const std::vector<std::string>& leaving = {}) -> void;
+  // Applies a declarations file by boragecroftctl through an instance; the exit
+  // code.
+  auto Apply(const std::string& file, size_t index = 0) -> int;
+
+  // Asks every endpoint stand-in what it started.
+  auto CountStarts() -> StartCounts;
+  auto Folder() const -> const std::string&;
+
+ private:
+  auto StartPlatform() -> void;
+  auto StartEndpoints() -> void;
+  auto StartInstance(Instance& instance) -> void;
+
+  const ClusterOptions options_;
+  std::string folder_;
+  std::unique_ptr<ChildProcess> platform_;
+  std::map<std::string, Address> platform_addresses_;
+  std::vector<EndpointZone> endpoints_;
+  std::vector<Instance> instances_;
+};
+
+}  // namespace boragecroft::lab
+
+#endif  // TESTS_LAB_CLUSTER_H_
--- a/tests/standins/endpoint/worker.cc
+++ b/tests/standins/endpoint/worker.cc
@@ -161,6 +161,17 @@
   return EndBody(task, worker.attempts[task]);
 }
 
+auto OnStatus(const Worker& worker, const json::object& body) -> HttpResponse {
+  const auto task = TextOr(body, "task", "");
+  const auto it = worker.attempts.find(task);
+  if (it != worker.attempts.end()) {
+    return EndBody(task, it->second);
+  }
+  Attempt unknown;
+  unknown.state = "unknown";
+  return EndBody(task, unknown);
+}
+
 }  // namespace
 
 auto OnWorkerRequest(Worker& worker,
@@ -175,6 +186,8 @@
     respond(JsonReply(200, json::object()));
   } else if (path == "/v1/stop") {
     respond(OnStop(worker, JsonBody(request)));
+  } else if (path == "/v1/status") {
+    respond(OnStatus(worker, JsonBody(request)));
   } else if (path == "/v1/health") {
     json::object body;
     body["state"] = worker.mode == WorkerMode::kDraining ? "draining" : "live";
