Prepare an operator's document on top of the row it replaces

Cause: a document prepared over the configuration in force on the instance could miss members of the row that the write replaces, when the instance is behind. ApplyAttempt now prepares it when it has read that row, and refuses an invalid document before the table is asked.

The property test of racing operators now also reads replicas that are behind. Policy names stand once.

--- a/servers/configuration/apply_attempt.cc
+++ b/servers/configuration/apply_attempt.cc
@@ -36,6 +36,34 @@
          next == operations.end() ? row.version : next->base_version);
 }
 
+auto Refuse(ApplyAttempt& attempt, std::vector<FieldError> errors) -> void {
+  attempt.errors = std::move(errors);
+  Finish(attempt, ApplyOutcome::kInvalid, 0);
+}
+
+auto PrepareWrite(ApplyAttempt& attempt, const ConfigurationRow& row) -> void {
+  const Configuration* replaced = nullptr;
+  Configuration configuration;
+  if (row.version > 0) {
+    auto read = ReadConfiguration(row.document, Strictness::kLenient);
+    if (read.has_error()) {
+      Refuse(attempt, std::move(read.error()));
+      return;
+    }
+    configuration = std::move(read.value());
+    replaced = &configuration;
+  }
+  auto update = PrepareUpdate(replaced, attempt.document);
+  if (update.has_error()) {
+    Refuse(attempt, std::move(update.error()));
+    return;
+  }
+  attempt.replacement =
+      ReplaceDocument(row, attempt.operation_id,
+                      ToJson(update.value(), update.value().schema_version));
+  attempt.step = ApplyStep::kWrite;
+}
+
 }  // namespace
 
 auto BeginApply(int64_t expected_version,
@@ -45,11 +73,15 @@
   out.expected_version = expected_version;
   out.operation_id = std::move(operation_id);
   out.document = std::move(document);
+  auto checked = ReadConfiguration(out.document, Strictness::kStrict);
+  if (checked.has_error()) {
+    Refuse(out, std::move(checked.error()));
+  }
   return out;
 }
 
-auto RowToWrite(const ApplyAttempt& attempt) -> ConfigurationRow {
-  return ReplaceDocument(attempt.base, attempt.operation_id, attempt.document);
+auto RowToWrite(const ApplyAttempt& attempt) -> const ConfigurationRow& {
+  return attempt.replacement;
 }
 
 auto OnRowRead(ApplyAttempt& attempt, const ConfigurationRow& row) -> void {
@@ -58,8 +90,7 @@
     return;
   }
   if (row.version == attempt.expected_version) {
-    attempt.base = row;
-    attempt.step = ApplyStep::kWrite;
+    PrepareWrite(attempt, row);
     return;
   }
   SettleByHistory(attempt, row);
--- a/servers/configuration/apply_attempt.h
+++ b/servers/configuration/apply_attempt.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "servers/configuration/configuration_row.h"
+#include "servers/configuration/configuration_update.h"
 
 namespace boragecroft {
 
@@ -25,6 +26,7 @@
   kLostRace,    // another operation replaced the expected version; `version` is
                 // the row's
   kNotApplied,  // nothing was written and nothing will be
+  kInvalid,     // the same, since the document breaks the rules: `errors`
 };
 
 // The table's answer to a conditional write.
@@ -43,20 +45,24 @@
 struct ApplyAttempt {
   int64_t expected_version = 0;
   std::string operation_id;  // unique; the same when the operator repeats
-  json::value document;
+  json::value document;      // as the operator sent it
   ApplyStep step = ApplyStep::kRead;
   ApplyOutcome outcome = ApplyOutcome::kNotApplied;
   int64_t version = 0;
+  std::vector<FieldError> errors;
   bool write_unsettled = false;  // a write was sent and its answer was lost
-  ConfigurationRow base;         // the row at the expected version
+  ConfigurationRow replacement;  // written over the row at the expected version
 };
 
+// Checks the document; the attempt is done at once when it is invalid.
 auto BeginApply(int64_t expected_version,
                 std::string operation_id,
                 json::value document) -> ApplyAttempt;
-auto RowToWrite(const ApplyAttempt& attempt) -> ConfigurationRow;
-// A row of version 0 stands for an absent row. A row that is older than the
-// expected version comes from a replica that is behind: read again.
+// The row to write; its version is the table's to choose.
+auto RowToWrite(const ApplyAttempt& attempt) -> const ConfigurationRow&;
+// Settles the attempt, or prepares its write on top of `row`. A row of version
+// 0 stands for an absent row. A row that is older than the expected version
+// comes from a replica that is behind: read again.
 auto OnRowRead(ApplyAttempt& attempt, const ConfigurationRow& row) -> void;
 auto OnWriteAnswer(ApplyAttempt& attempt, const WriteAnswer& answer) -> void;
 // Ends the attempt as undecided when a write is unsettled, otherwise as not
--- a/servers/configuration/configuration.cc
+++ b/servers/configuration/configuration.cc
@@ -29,6 +29,12 @@
   return ReadConfiguration(document.value(), Strictness::kStrict);
 }
 
+auto PolicyNames() -> const std::vector<std::string>& {
+  static const std::vector<std::string> names = {"fair", "round_robin",
+                                                 "two_choices"};
+  return names;
+}
+
 auto FindService(const Configuration& configuration, std::string_view name)
     -> const ServiceDeclaration* {
   return FindByName(configuration.services, name);
--- a/servers/configuration/configuration.h
+++ b/servers/configuration/configuration.h
@@ -63,6 +63,9 @@
 
 enum class DispatchPolicy : uint8_t { kFair, kRoundRobin, kTwoChoices };
 
+// Names of the policies in documents, in the order of `DispatchPolicy`.
+auto PolicyNames() -> const std::vector<std::string>&;
+
 struct Limits {
   uint32_t max_tasks_per_job = 2000;
   uint32_t max_body_bytes = 8U << 20U;
--- a/servers/configuration/configuration_reader.cc
+++ b/servers/configuration/configuration_reader.cc
@@ -169,8 +169,8 @@
   context.schema_version = out.schema_version;
   out.deployment = reader.Text("deployment");
   ReadLists(reader, context, out);
-  out.policy = static_cast<DispatchPolicy>(
-      reader.ChoiceOr("policy", {"fair", "round_robin", "two_choices"}, 0));
+  out.policy =
+      static_cast<DispatchPolicy>(reader.ChoiceOr("policy", PolicyNames(), 0));
   if (const auto* limits = reader.Raw("limits")) {
     ObjectReader limits_reader(*limits, "limits", errors);
     out.limits = ReadLimits(limits_reader, context);
--- a/servers/configuration/configuration_update.h
+++ b/servers/configuration/configuration_update.h
@@ -7,10 +7,11 @@
 
 namespace boragecroft {
 
-// Reads `document` strictly and returns what to write over `in_force` (null:
-// nothing yet). Teams that version 1 cannot express stay as they are in force;
-// a quota of version 1 that would change a team with other partners is an
-// error. Members of `in_force` that this build does not know stay.
+// Reads `document` strictly and returns what to write over `in_force`, the
+// configuration of the very row that is replaced (null: there is none). Teams
+// that version 1 cannot express stay as they are in force; a quota of version 1
+// that would change a team with other partners is an error. Members of
+// `in_force` that this build does not know stay.
 auto PrepareUpdate(const Configuration* in_force, const json::value& document)
     -> Result<Configuration, std::vector<FieldError>>;
 
--- a/servers/configuration/configuration_writer.cc
+++ b/servers/configuration/configuration_writer.cc
@@ -1,12 +1,10 @@
-#include <array>
+#include <utility>
 
 #include "servers/configuration/configuration.h"
 
 namespace boragecroft {
 namespace {
 
-constexpr std::array kPolicyNames = {"fair", "round_robin", "two_choices"};
-
 // Adds the members that this build does not know; a known one goes first.
 auto WithUnknown(json::object known, const json::object& unknown)
     -> json::object {
@@ -101,7 +99,7 @@
   out["partners"] = ListToJson(configuration.partners, [&](const auto& it) {
     return PartnerToJson(it, configuration, schema_version);
   });
-  out["policy"] = kPolicyNames.at(static_cast<size_t>(configuration.policy));
+  out["policy"] = PolicyNames().at(static_cast<size_t>(configuration.policy));
   out["limits"] = LimitsToJson(configuration.limits);
   return WithUnknown(std::move(out), configuration.unknown);
 }
--- a/tests/servers/configuration/apply_attempt_test.cc
+++ b/tests/servers/configuration/apply_attempt_test.cc
@@ -6,6 +6,8 @@
 
 #include <map>
 
+#include "tests/servers/configuration/documents.h"
+
 namespace boragecroft {
 namespace {
 
@@ -45,6 +47,11 @@
     }
   }
 
+  // What a replica that is behind answers.
+  auto ReadOld(uint32_t choice) const -> ConfigurationRow {
+    return history_.empty() ? Read() : history_[choice % history_.size()];
+  }
+
   // The version that each operation made.
   std::map<std::string, int64_t> effects;
 
@@ -53,6 +60,7 @@
     if (attempt.expected_version != version_) {
       return false;
     }
+    history_.push_back(Read());
     value_ = ToJson(RowToWrite(attempt));
     version_ += 1 + version_ % 3;  // rising, not always by one
     RC_ASSERT(effects.emplace(attempt.operation_id, version_).second);
@@ -62,6 +70,7 @@
   int64_t version_ = 0;
   json::value value_;
   std::vector<ApplyAttempt> late_;
+  std::vector<ConfigurationRow> history_;
 };
 
 auto Step(ApplyAttempt& attempt, Table& table, Table::Fault fault) -> void {
@@ -94,9 +103,13 @@
     if (attempts.empty() || choice % 5 == 0) {
       attempts.push_back(BeginApply(table.Read().version,
                                     std::to_string(attempts.size()),
-                                    json::object{{"i", i}}));
+                                    DocumentOfVersion(i)));
+    }
+    auto& attempt = attempts[choice % attempts.size()];
+    if (attempt.step == ApplyStep::kRead && choice % 3 == 0) {
+      OnRowRead(attempt, table.ReadOld(choice));
     }
-    Step(attempts[choice % attempts.size()], table, fault);
+    Step(attempt, table, fault);
     if (choice % 7 == 0) {
       table.DeliverLate();
     }
@@ -130,14 +143,14 @@
       .version = 5, .document = {}, .operations = {{4, "mine"}}, .unknown = {}};
   row = ReplaceDocument(row, "other", json::object());
   row.version = 9;
-  auto attempt = BeginApply(4, "mine", json::object());
+  auto attempt = BeginApply(4, "mine", DocumentOfVersion(1));
   OnRowRead(attempt, row);
   EXPECT_EQ(attempt.outcome, ApplyOutcome::kApplied);
   EXPECT_EQ(attempt.version, 5);
 }
 
 TEST(ApplyAttemptTest, ARowThatForgotTheExpectedVersionLeavesItUndecided) {
-  auto attempt = BeginApply(4, "mine", json::object());
+  auto attempt = BeginApply(4, "mine", DocumentOfVersion(1));
   OnRowRead(attempt, {.version = 90,
                       .document = {},
                       .operations = {{80, "x"}},
@@ -146,12 +159,29 @@
 }
 
 TEST(ApplyAttemptTest, AReplicaThatIsBehindIsReadAgain) {
-  auto attempt = BeginApply(4, "mine", json::object());
+  auto attempt = BeginApply(4, "mine", DocumentOfVersion(1));
   OnRowRead(attempt,
             {.version = 3, .document = {}, .operations = {}, .unknown = {}});
   EXPECT_EQ(attempt.step, ApplyStep::kRead);
 }
 
+TEST(ApplyAttemptTest, AnInvalidDocumentIsRefusedBeforeTheTableIsAsked) {
+  const auto attempt = BeginApply(4, "mine", json::object());
+  EXPECT_EQ(attempt.step, ApplyStep::kDone);
+  EXPECT_EQ(attempt.outcome, ApplyOutcome::kInvalid);
+  EXPECT_FALSE(attempt.errors.empty());
+}
+
+TEST(ApplyAttemptTest, TheWriteKeepsWhatANewerBuildPutIntoTheRow) {
+  auto document = DocumentNamed("cartas");
+  document.as_object()["added"] = 1;
+  auto attempt = BeginApply(4, "mine", DocumentNamed("logbook"));
+  OnRowRead(attempt, {.version = 4, .document = document});
+  ASSERT_EQ(attempt.step, ApplyStep::kWrite);
+  EXPECT_EQ(RowToWrite(attempt).document.at("added"), 1);
+  EXPECT_EQ(RowToWrite(attempt).document.at("deployment"), "logbook");
+}
+
 TEST(ConfigurationRowTest, MembersOfANewerWriterSurviveARewrite) {
   const auto value =
       ParseJson(R"({"document":{"a":1},"operations":[],"new":7})").value();
