Let an undecided apply be settled under the same operation id

Cause: after an undecided answer an operator could only start a new operation, which cannot tell what became of the first. boragecroftctl now sends it again twice, then prints the version and id with which to repeat it.

A wildcard as listen_instances is refused: other instances are told that address.

--- a/main/ctl/command_line.cc
+++ b/main/ctl/command_line.cc
@@ -32,7 +32,7 @@
     CommandSyntax{Command::kDiff, "diff", Operand::kFile, true, "",
                   "list what applying the file would change"},
     CommandSyntax{Command::kApply, "apply", Operand::kFile, true,
-                  " expected-version ", "put the file in force"},
+                  " expected-version operation-id ", "put the file in force"},
     CommandSyntax{Command::kShow, "show", Operand::kNone, true,
                   " schema-version ", "print the declarations in force"},
     CommandSyntax{Command::kJobsList, "jobs list", Operand::kNone, true,
@@ -107,6 +107,7 @@
                                               : OutputFormat::kTable;
     out.timeout = milliseconds(timeout_.getValue());
     out.schema_version = schema_version_.getValue();
+    out.operation_id = operation_id_.getValue();
     out.partner = partner_.getValue();
     out.state = state_.getValue();
     out.expected_version = Value(expected_version_);
@@ -118,13 +119,11 @@
   // The name of an option that was given and is not among `allowed`; empty when
   // there is none.
   auto FindMisplaced(std::string_view allowed) const -> std::string {
-    const std::array<const TCLAP::Arg*, 7> special = {&expected_version_,
-                                                      &schema_version_,
-                                                      &partner_,
-                                                      &state_,
-                                                      &limit_,
-                                                      &from_,
-                                                      &to_};
+    const std::array<const TCLAP::Arg*, 8> special = {
+        &operation_id_,   &expected_version_,
+        &schema_version_, &partner_,
+        &state_,          &limit_,
+        &from_,           &to_};
     for (const auto* it : special) {
       if (it->isSet() &&
           allowed.find(" " + it->getName() + " ") == std::string_view::npos) {
@@ -150,6 +149,7 @@
   Number timeout_{"", "timeout-ms", "", false, 5000, "MS", parser_};
   Number expected_version_{"", "expected-version", "", false, 0, "N", parser_};
   Number schema_version_{"", "schema-version", "", false, 2, "N", parser_};
+  Text operation_id_{"", "operation-id", "", false, "", "ID", parser_};
   Text partner_{"", "partner", "", false, "", "NAME", parser_};
   Text state_{"", "state", "", false, "", "STATE", parser_};
   Number limit_{"", "limit", "", false, 0, "N", parser_};
@@ -181,6 +181,13 @@
   });
 }
 
+auto IsOperationId(std::string_view text) -> bool {
+  constexpr size_t kDigits = 32;
+  return text.size() == kDigits &&
+         std::all_of(text.begin(), text.end(),
+                     [](unsigned char c) { return std::isxdigit(c) != 0; });
+}
+
 auto CheckValues(const CommandLine& line, const Options& options)
     -> std::optional<std::string> {
   if (line.timeout <= milliseconds(0)) {
@@ -192,6 +199,10 @@
   if (line.expected_version && *line.expected_version < 0) {
     return "--expected-version must not be negative";
   }
+  if (!line.operation_id.empty() &&
+      (!IsOperationId(line.operation_id) || !line.expected_version)) {
+    return "--operation-id is 32 hexadecimal digits, with --expected-version";
+  }
   if (!IsPlain(line.partner) || !IsPlain(line.state)) {
     return "names are letters, digits, dots, dashes or underscores";
   }
@@ -296,6 +307,8 @@
   --timeout-ms MS         longest wait for each instance (default 5000)
   --expected-version N    apply: the version to replace (default: the one that
                           is in force when the command starts)
+  --operation-id ID       apply: repeat an undecided operation, with its
+                          expected version
   --schema-version N      show: 1 or 2 (default 2)
   --partner NAME          jobs list, account: only this partner
   --state STATE           jobs list: active, done, failed or refused
--- a/main/ctl/command_line.h
+++ b/main/ctl/command_line.h
@@ -37,6 +37,7 @@
   OutputFormat output = OutputFormat::kTable;
   milliseconds timeout{5000};
   std::optional<int64_t> expected_version;
+  std::string operation_id;  // of an earlier apply; empty: a new one
   int schema_version = 2;
   std::string partner;  // empty: all
   std::string state;    // of jobs; empty: all
--- a/main/ctl/configuration_commands.cc
+++ b/main/ctl/configuration_commands.cc
@@ -18,6 +18,9 @@
 constexpr Range kVersions{.low = 0,
                           .high = std::numeric_limits<int64_t>::max()};
 
+// How often an undecided change is sent again under the same operation id.
+constexpr int kRepetitions = 2;
+
 // Why a command ends early; the reason is already printed.
 using Ended = ExitCode;
 
@@ -153,6 +156,10 @@
   return success();
 }
 
+auto IsUndecided(const Result<OperatorReply, Ended>& reply) -> bool {
+  return reply.has_error() && reply.error() == Ended::kUndecided;
+}
+
 auto Apply(const CommandLine& line, std::ostream& out, std::ostream& err)
     -> Result<void, Ended> {
   BOOST_OUTCOME_TRY(auto document, ReadDocument(line.operand, err));
@@ -162,15 +169,25 @@
                       GetInForce(line, kCurrentSchemaVersion, err));
     expected = in_force.version;
   }
+  const auto operation =
+      line.operation_id.empty() ? DrawOperationId() : line.operation_id;
   HttpRequest request;
   request.method = "PUT";
   request.target = "/v1/configuration";
   request.headers = {{"Content-Type", "application/json"}};
   request.body = ToJsonText(json::object{{"expected_version", *expected},
-                                         {"operation_id", DrawOperationId()},
+                                         {"operation_id", operation},
                                          {"document", std::move(document)}});
-  BOOST_OUTCOME_TRY(const auto reply, Call(line, request, true, err));
-  out << ToPrettyJson(reply.body);
+  auto reply = Call(line, request, true, err);
+  for (auto i = 0; i < kRepetitions && IsUndecided(reply); ++i) {
+    reply = Call(line, request, true, err);
+  }
+  if (IsUndecided(reply)) {
+    err << "undecided; to settle it, repeat with --expected-version "
+        << *expected << " --operation-id " << operation << "\n";
+  }
+  BOOST_OUTCOME_TRY(const auto answer, std::move(reply));
+  out << ToPrettyJson(answer.body);
   return success();
 }
 
--- a/main/settings/daemon_settings.cc
+++ b/main/settings/daemon_settings.cc
@@ -89,6 +89,11 @@
 auto CheckAddresses(const DaemonSettings& settings, ObjectReader& reader)
     -> void {
   std::vector<Address> used;
+  const auto& own = settings.listen_instances;
+  if (own.ip == "0.0.0.0" || own.ip == "::") {
+    reader.Fail("listen_instances", ToString(own),
+                "an address that other instances can connect to");
+  }
   for (const auto& it : detail::AddressKeys()) {
     const auto& address = settings.*it.member;
     if (address.port == 0) {
--- a/main/settings/settings_table.cc
+++ b/main/settings/settings_table.cc
@@ -24,7 +24,8 @@
     AddressKey{"listen_callers", &S::listen_callers, true,
                "Where callers and the balancer connect (HTTP)."},
     AddressKey{"listen_instances", &S::listen_instances, true,
-               "Where other instances connect (Thrift)."},
+               "Where other instances connect (Thrift); they are told this "
+               "address, so not 0.0.0.0."},
     AddressKey{"listen_operators", &S::listen_operators, true,
                "Where boragecroftctl connects (HTTP)."},
     AddressKey{"platform", &S::platform, false,
--- a/tests/main/ctl/command_line_test.cc
+++ b/tests/main/ctl/command_line_test.cc
@@ -67,6 +67,7 @@
                     "jobs list extra -i 10.0.0.1:82",
                     "check",
                     "check f.jsonc --limit 3",
+                    "apply f.jsonc -i 10.0.0.1:82 --operation-id 12",
                     "show",
                     "show -i host:82",
                     "show -i 10.0.0.1:0",
--- a/tests/main/ctl/commands_test.cc
+++ b/tests/main/ctl/commands_test.cc
@@ -140,6 +140,21 @@
   EXPECT_EQ(silent.requests.front().body, other.requests.front().body);
 }
 
+TEST_F(CommandsTest, AnUndecidedApplyIsSentAgainAndCanBeRepeatedByHand) {
+  FakeInstance instance(
+      {{"PUT /v1/configuration",
+        {.status = 503, .body = R"({"error":{"code":"undecided"}})"}}});
+  line_.operand = SourcePath(kDeclarations);
+  line_.expected_version = 7;
+  line_.operation_id = std::string(32, 'a');
+  EXPECT_EQ(Run(Command::kApply, {instance.address}), ExitCode::kUndecided);
+  EXPECT_NE(err_.str().find("--expected-version 7 --operation-id aaaa"),
+            std::string::npos);
+  instance.Stop();
+  ASSERT_EQ(instance.requests.size(), 3U);
+  EXPECT_EQ(instance.requests.front().body, instance.requests.back().body);
+}
+
 TEST_F(CommandsTest, ExitCodesTellRefusedUnreachableAndUndecidedApart) {
   FakeInstance instance(
       {{"PUT /v1/configuration",
--- a/tests/main/settings/settings_test.cc
+++ b/tests/main/settings/settings_test.cc
@@ -66,6 +66,10 @@
           Edited("\"platform\"", "\"balancer_grace_ms\": 30000, \"platform\"")),
       Faults{"d.jsonc: balancer_grace_ms: found 30000, allowed: less than "
              "drain_timeout_ms 30000"});
+  EXPECT_EQ(FaultsOf(Edited("\"listen_instances\": \"127.0.0.1:0\"",
+                            "\"listen_instances\": \"0.0.0.0:5\"")),
+            Faults{"d.jsonc: listen_instances: found 0.0.0.0:5, allowed: an "
+                   "address that other instances can connect to"});
   EXPECT_EQ(FaultsOf(Edited("\"[::1]:0\"", "\"127.0.0.1:9000\"")),
             Faults{"d.jsonc: platform: found 127.0.0.1:9000, allowed: an "
                    "address that no other key names"});
