--- a/servers/dispatcher/configuration_flow.cc
+++ b/servers/dispatcher/configuration_flow.cc
@@ -7,7 +7,6 @@
 #include "core/log/log.h"
 #include "servers/configuration/apply_attempt.h"
 #include "servers/configuration/configuration_row.h"
-#include "servers/configuration/configuration_update.h"
 #include "servers/dispatcher/record_flow.h"
 
 namespace boragecroft {
@@ -137,6 +136,15 @@
   }
 }
 
+auto HeardZone(const Step& step) -> std::vector<std::string> {
+  std::vector<std::string> names;
+  for (const auto* it :
+       ReachableZonePeers(step.dispatcher.membership, step.now.boot)) {
+    names.push_back(it->name);
+  }
+  return names;
+}
+
 struct OpenApply {
   uint64_t number = 0;
   ApplyAttempt attempt;
@@ -151,6 +159,23 @@
   return body;
 }
 
+auto ReplyInvalid(Step& step,
+                  uint64_t number,
+                  const std::vector<FieldError>& errors) -> void {
+  json::array fields;
+  for (const auto& it : errors) {
+    fields.push_back(
+        {{"field", it.field}, {"found", it.found}, {"allowed", it.allowed}});
+  }
+  auto body = ErrorBody("invalid");
+  body["error"].as_object()["fields"] = std::move(fields);
+  OperatorReply reply;
+  reply.number = number;
+  reply.status = 422;
+  reply.body = std::move(body);
+  step.out.operators.push_back(std::move(reply));
+}
+
 auto ReplyApplied(Step& step, const OpenApply& apply) -> void {
   OperatorReply reply;
   reply.number = apply.number;
@@ -165,9 +190,12 @@
       reply.body = std::move(body);
       break;
     }
+    case ApplyOutcome::kInvalid:
+      ReplyInvalid(step, apply.number, apply.attempt.errors);
+      return;
     case ApplyOutcome::kNotApplied:
       reply.status = 503;
-      reply.body = ErrorBody("not_applied");
+      reply.body = ErrorBody("unavailable");
       break;
     case ApplyOutcome::kUndecided:
       reply.status = 503;
@@ -250,23 +278,6 @@
   }
 }
 
-auto ReplyInvalid(Step& step,
-                  uint64_t number,
-                  const std::vector<FieldError>& errors) -> void {
-  json::array fields;
-  for (const auto& it : errors) {
-    fields.push_back(
-        {{"field", it.field}, {"found", it.found}, {"allowed", it.allowed}});
-  }
-  auto body = ErrorBody("invalid");
-  body["error"].as_object()["fields"] = std::move(fields);
-  OperatorReply reply;
-  reply.number = number;
-  reply.status = 422;
-  reply.body = std::move(body);
-  step.out.operators.push_back(std::move(reply));
-}
-
 }  // namespace
 
 auto TendConfiguration(Step& step) -> void {
@@ -332,17 +343,12 @@
 
 auto OnApplyConfiguration(Step& step, uint64_t number, ApplyConfiguration apply)
     -> void {
-  auto prepared = PrepareUpdate(InForce(step.dispatcher), apply.document);
-  if (prepared.has_error()) {
-    ReplyInvalid(step, number, prepared.error());
-    return;
-  }
   auto open = std::make_shared<OpenApply>();
   open->number = number;
   open->expires = step.now.boot + kApplyTimeout;
-  open->attempt = BeginApply(static_cast<int64_t>(apply.expected_version),
-                             std::move(apply.operation_id),
-                             ToJson(prepared.value(), kCurrentSchemaVersion));
+  open->attempt =
+      BeginApply(static_cast<int64_t>(apply.expected_version),
+                 std::move(apply.operation_id), std::move(apply.document));
   ContinueApply(step, open);
 }
 
--- a/tests/lab/cluster.cc
+++ b/tests/lab/cluster.cc
@@ -17,7 +17,6 @@
 
 constexpr milliseconds kStartTimeout{15000};
 constexpr milliseconds kPoll{20};
-constexpr milliseconds kStopTimeout{10000};
 
 auto Program(const std::string& name) -> std::string {
   return std::string(BORAGECROFT_BIN) + "/" + name;
