--- a/servers/dispatcher/configuration_flow.cc
+++ b/servers/dispatcher/configuration_flow.cc
@@ -291,9 +291,14 @@
     AskZone(step);
   }
   if (step.now.boot >= dispatcher.next_configuration_poll) {
-    dispatcher.next_configuration_poll =
-        step.now.boot + dispatcher.settings.configuration_poll_interval;
-    Poll(step);
+    const auto interval = dispatcher.settings.configuration_poll_interval;
+    dispatcher.next_configuration_poll = step.now.boot + interval;
+    // An instance that may not serve yet reads each time; others take turns.
+    if (!ReadyToServe(dispatcher.configuration, step.now) ||
+        IsPollTurn(dispatcher.settings.instance, HeardZone(step), interval,
+                   step.now)) {
+      Poll(step);
+    }
     if (VersionInForce(dispatcher.configuration) == 0) {
       AskZone(step);
     }
