--- a/servers/admission/queue_state.h
+++ b/servers/admission/queue_state.h
@@ -39,7 +39,7 @@
                   Instant now) -> void;
 
 // Fills the fields of `input` that describe the queue as this class and partner
-// see it; `partner_weight` must be set. The job's own fields, `slots` and
+// see it. The job's own fields, `slots`, `partner_weight` and
 // `max_queued_tasks` are left to the caller.
 auto DescribeQueue(const TaskQueue& queue,
                    const SlotLoads& loads,
--- a/servers/quota/quota_roster.cc
+++ b/servers/quota/quota_roster.cc
@@ -47,7 +47,8 @@
 auto NoteGone(QuotaRoster& roster, const Members& gone, Instant now) -> void {
   for (const auto it : gone) {
     const auto member = roster.presence.find(it);
-    if (member != roster.presence.end() && !member->second.gone_since) {
+    const auto known = member != roster.presence.end() && it != roster.self;
+    if (known && !member->second.gone_since) {
       member->second.gone_since = now;
     }
   }
--- a/tests/servers/admission/admission_test.cc
+++ b/tests/servers/admission/admission_test.cc
@@ -126,6 +126,31 @@
   EXPECT_TRUE(Offer("quiet", 2000).Accepted());
 }
 
+TEST_F(AFloodOfOnePartner, KnowsWhatLightPartnersAndClassesTakeOfLate) {
+  SlotLoads loads;
+  MeasureLoads(loads, queue_, 10, Instant(seconds(1)));
+  for (uint32_t i = 0; i < 3; ++i) {
+    Enqueue(queue_, {.job = {.sequence = 1000 + i},
+                     .class_index = i,
+                     .partner = "light",
+                     .weight = 2,
+                     .task_count = 1,
+                     .deadline = Instant(seconds(30)),
+                     .run_time = seconds(2)});
+  }
+  while (queue_.slot_time < seconds(20)) {
+    PopTask(queue_, Instant(seconds(1)));
+  }
+  MeasureLoads(loads, queue_, 10, Instant(seconds(3)));
+  AdmissionInput input;
+  DescribeQueue(queue_, loads, 1, "flood", input);
+  EXPECT_DOUBLE_EQ(input.more_urgent_load, 0.1);
+  EXPECT_DOUBLE_EQ(input.less_urgent_share, 0.1);
+  EXPECT_DOUBLE_EQ(input.other_partners_load, 0.1);
+  EXPECT_EQ(input.other_weight, 2U);
+  EXPECT_EQ(input.partner_cost, input.class_cost);
+}
+
 TEST(AFullQueue, RefusesTheFlooderAndKeepsRoomForANewcomer) {
   AdmissionInput input{.task_count = 100,
                        .deadline = seconds(30),
--- a/tests/servers/queue/task_queue_test.cc
+++ b/tests/servers/queue/task_queue_test.cc
@@ -167,8 +167,7 @@
     }
     for (uint32_t i = 0; i < kClasses; ++i) {
       ASSERT_EQ(ClassBacklog(queue, i).tasks, of_class[i]);
-      ASSERT_EQ(ClassBacklog(queue, i).cost.count() > 0 && of_class[i] == 0,
-                false);
+      ASSERT_TRUE(of_class[i] > 0 || ClassBacklog(queue, i).cost.count() == 0);
     }
     for (const auto& [key, tasks] : of_partner) {
       ASSERT_EQ(PartnerBacklog(queue, key.first, key.second).tasks, tasks);
@@ -270,6 +269,15 @@
   EXPECT_TRUE(PopTask(queue_, At(0)));
 }
 
+TEST_F(AQueueWithOneJob, ReckonsWithTheRunTimeThatItsTasksShow) {
+  EXPECT_EQ(ClassBacklog(queue_, 1).cost, milliseconds(400));
+  const auto task = PopTask(queue_, At(0));
+  ASSERT_TRUE(task);
+  Finish(queue_, *task, milliseconds(180));
+  EXPECT_EQ(ClassBacklog(queue_, 1).cost, 3 * milliseconds(110));
+  EXPECT_EQ(queue_.slot_time, milliseconds(180));
+}
+
 TEST_F(AQueueWithOneJob, KeepsItsClassByNameWhenClassesAreRedeclared) {
   const auto started = PopTask(queue_, At(0));
   Configure(queue_, {{"bulk", 10}, {"urgent", 30}}, QueueOrder::kFair);
