--- a/servers/quota/quota_roster.cc
+++ b/servers/quota/quota_roster.cc
@@ -47,7 +47,8 @@
 auto NoteGone(QuotaRoster& roster, const Members& gone, Instant now) -> void {
   for (const auto it : gone) {
     const auto member = roster.presence.find(it);
-    if (member != roster.presence.end() && !member->second.gone_since) {
+    const auto known = member != roster.presence.end() && it != roster.self;
+    if (known && !member->second.gone_since) {
       member->second.gone_since = now;
     }
   }
@@ -91,7 +92,8 @@
   if (Contains(listed, roster.self)) {
     NoteListed(roster, listed, now);
     std::erase_if(roster.presence, [&](const auto& it) {
-      return HasPassed(it.second.absent_since, now, delays.absent);
+      const auto delay = it.second.heard ? delays.absent : delays.gone;
+      return HasPassed(it.second.absent_since, now, delay);
     });
   }
   NoteGone(roster, gone, now);
@@ -122,7 +124,11 @@
                 Incarnation sender,
                 uint64_t digest,
                 Instant echoed_sent) -> void {
-  if (!IsMember(roster, sender) || echoed_sent < roster.promised_at) {
+  if (!IsMember(roster, sender)) {
+    return;
+  }
+  roster.presence[sender].heard = true;
+  if (echoed_sent < roster.promised_at) {
     return;
   }
   roster.reports[sender] = digest;
--- a/tests/servers/queue/fairness_test.cc
+++ b/tests/servers/queue/fairness_test.cc
@@ -216,10 +216,33 @@
     PopTask(queue_, now_);
     now_ += milliseconds(5);
   }
-  Add(9, "flood", 10, now_ + seconds(30));
-  EXPECT_LE(DispatchesUntilWhole(9), 80);
-  DispatchesUntilWhole(0);
-  EXPECT_LE(now_, Instant(seconds(12)));
+  Add(100, "flood", 10, now_ + seconds(30));
+  EXPECT_LE(DispatchesUntilWhole(100), 80);
+  // Small jobs keep coming; the long one still gets 7 of 8 dispatches.
+  for (uint64_t i = 101; QueuedTasks(queue_, {.sequence = 0}) > 0; ++i) {
+    ASSERT_LE(now_, Instant(seconds(12)));
+    Add(i, "flood", 10, now_ + seconds(30));
+    DispatchesUntilWhole(i);
+  }
+}
+
+TEST_F(AFloodingPartner, OwesNothingToAClassThatWasIdle) {
+  Enqueue(queue_, {.job = {.sequence = 0},
+                   .class_index = 0,
+                   .partner = "flood",
+                   .task_count = kTasksPerJob,
+                   .deadline = kFar,
+                   .run_time = milliseconds(200)});
+  for (auto i = 0; i < 1000; ++i) {
+    PopTask(queue_, now_);
+  }
+  Add(1, "idle", kTasksPerJob, kFar);
+  for (auto i = 0; i < 100; ++i) {
+    PopTask(queue_, now_);
+  }
+  const auto dispatched = kTasksPerJob - QueuedTasks(queue_, {.sequence = 1});
+  EXPECT_GE(dispatched, 20U);
+  EXPECT_LE(dispatched, 21U);
 }
 
 TEST(AFifoQueue, ServesByArrivalWhateverClassAndDeadline) {
