Count a worker once against the cap, and probe with any task in the end

A verdict on all kinds now takes the place of those on single kinds, and the cap counts workers, not verdicts; the new test of it states the case by hand.

A probe was to be a repeatable task, so a zone with no such work never got a worker back. Any task may now be the probe once it is 30 s overdue. Ruled out: any task at once, which would risk a demand letter each second.

--- a/servers/health/judge.cc
+++ b/servers/health/judge.cc
@@ -29,6 +29,8 @@
 constexpr auto kFirstProbeInterval = seconds(1);
 constexpr auto kMaxProbeInterval = seconds(64);
 constexpr auto kProbeTimeout = seconds(60);
+// Overdue by this, a probe may be any task.
+constexpr auto kWaitForRepeatable = seconds(30);
 constexpr auto kSetbackMemory = seconds(60);
 constexpr auto kStragglerHalfLife = std::chrono::duration<double>(10);
 
@@ -171,23 +173,18 @@
   }
 }
 
-// Workers of the service that are put aside, for one kind or for all.
-auto CountAside(const Judge& judge, const std::string& service) -> size_t {
-  std::unordered_set<WorkerId> workers;
+// Whether one more worker of the service may be put aside, for one kind or all.
+auto IsUnderCap(const Judge& judge, const std::string& service, WorkerId worker)
+    -> bool {
+  std::unordered_set<WorkerId> aside = {worker};
   for (const auto& it : judge.aside) {
     if (it.service == service) {
-      workers.insert(it.subject.worker);
+      aside.insert(it.subject.worker);
     }
   }
-  return workers.size();
-}
-
-auto IsUnderCap(const Judge& judge, const std::string& service) -> bool {
   const auto it = judge.pool_sizes.find(service);
-  const auto pool = it == judge.pool_sizes.end() ? 0U : it->second;
-  const auto allowed =
-      static_cast<uint64_t>(pool) * judge.max_ejected_percent / 100;
-  return CountAside(judge, service) + 1 <= allowed;
+  const auto pool = it == judge.pool_sizes.end() ? uint64_t{0} : it->second;
+  return aside.size() <= pool * judge.max_ejected_percent / 100;
 }
 
 auto ProbeInterval(uint32_t setbacks) -> microseconds {
@@ -209,6 +206,10 @@
       healthy_for.count() / microseconds(kSetbackMemory).count());
   record.setbacks -=
       static_cast<uint32_t>(std::min<uint64_t>(record.setbacks, forgotten));
+  if (subject.kind.empty()) {
+    // What holds for all kinds takes the place of verdicts on single kinds.
+    ForgetWorker(judge, subject.worker);
+  }
   judge.aside.push_back(
       {.subject = subject,
        .service = service,
@@ -254,11 +255,10 @@
   return std::nullopt;
 }
 
-auto IsProbeDue(const AsideEntry& entry, Now now) -> bool {
-  if (entry.probing) {
-    return now.boot >= entry.probe_started + kProbeTimeout;
-  }
-  return now.boot >= entry.next_probe;
+auto IsProbeDue(const AsideEntry& entry, bool repeatable, Now now) -> bool {
+  const auto due =
+      entry.probing ? entry.probe_started + kProbeTimeout : entry.next_probe;
+  return now.boot >= due + (repeatable ? seconds(0) : kWaitForRepeatable);
 }
 
 }  // namespace
@@ -292,7 +292,8 @@
   for (const auto& it : subjects) {
     const auto& record = judge.subjects.Touch(it);
     const auto evidence = TotalEvidence(judge, record, attempt.worker);
-    if (evidence >= kEjectEvidence && IsUnderCap(judge, attempt.kind.service)) {
+    if (evidence >= kEjectEvidence &&
+        IsUnderCap(judge, attempt.kind.service, attempt.worker)) {
       const auto share =
           JobEvidence(judge, record, attempt.worker) >= kEjectEvidence / 2;
       PutAside(judge, it, attempt.kind.service, share, now);
@@ -329,7 +330,8 @@
   auto& record = judge.subjects.Touch(shared.subject);
   record.peer_evidence += kPeerEvidence;
   const auto evidence = TotalEvidence(judge, record, shared.subject.worker);
-  if (evidence < kEjectEvidence || !IsUnderCap(judge, shared.service)) {
+  if (evidence < kEjectEvidence ||
+      !IsUnderCap(judge, shared.service, shared.subject.worker)) {
     return {};
   }
   Clear(record);
@@ -337,25 +339,25 @@
   return {VerdictKind::kPutAside, shared.subject};
 }
 
-auto FindExclusions(const Judge& judge, const WorkKind& kind, Now now)
+auto FindExclusions(const Judge& judge, const ProbeTask& task, Now now)
     -> Exclusions {
   Exclusions result;
   for (const auto& it : judge.aside) {
-    if (!Covers(it, it.subject.worker, kind)) {
+    if (!Covers(it, it.subject.worker, task.kind)) {
       continue;
     }
     result.excluded.push_back(it.subject.worker);
-    if (IsProbeDue(it, now)) {
+    if (IsProbeDue(it, task.repeatable, now)) {
       result.probe_due.push_back(it.subject.worker);
     }
   }
   return result;
 }
 
-auto StartProbe(Judge& judge, WorkerId worker, const WorkKind& kind, Now now)
+auto StartProbe(Judge& judge, WorkerId worker, const ProbeTask& task, Now now)
     -> bool {
-  const auto n = FindAside(judge, worker, kind);
-  if (!n || !IsProbeDue(judge.aside[*n], now)) {
+  const auto n = FindAside(judge, worker, task.kind);
+  if (!n || !IsProbeDue(judge.aside[*n], task.repeatable, now)) {
     return false;
   }
   judge.aside[*n].probing = true;
--- a/servers/health/judge.h
+++ b/servers/health/judge.h
@@ -148,13 +148,20 @@
   std::vector<WorkerId> probe_due;  // may get one task
 };
 
-// The workers that must not get tasks of this kind, usually none.
-auto FindExclusions(const Judge& judge, const WorkKind& kind, Now now)
+// What is asked for: a kind of work, and whether the task may be risked.
+struct ProbeTask {
+  WorkKind kind;
+  bool repeatable = false;
+};
+
+// The workers that must not get this task, usually none. A task that is not
+// repeatable becomes a probe only when no other has for a while, so that a zone
+// without repeatable work gets its workers back.
+auto FindExclusions(const Judge& judge, const ProbeTask& task, Now now)
     -> Exclusions;
 
-// Notes that a task of this kind goes to a worker as its probe. False when none
-// is due.
-auto StartProbe(Judge& judge, WorkerId worker, const WorkKind& kind, Now now)
+// Notes that the task goes to a worker as its probe. False when none is due.
+auto StartProbe(Judge& judge, WorkerId worker, const ProbeTask& task, Now now)
     -> bool;
 
 // Notes a task that runs far longer than its kind does.
--- a/tests/servers/health/judge_test.cc
+++ b/tests/servers/health/judge_test.cc
@@ -11,6 +11,8 @@
 namespace boragecroft {
 namespace {
 
+const ProbeTask kLetter{{"cartas", "letter"}, true};
+
 struct JudgeTest : testing::Test {
   Judge judge;
   Now now{Instant(seconds(1000)), WallTime()};
@@ -46,7 +48,8 @@
   }
   auto IsAside(uint32_t worker, const std::string& kind = "letter") const
       -> bool {
-    const auto ids = FindExclusions(judge, {"cartas", kind}, now).excluded;
+    const auto ids =
+        FindExclusions(judge, {{"cartas", kind}, true}, now).excluded;
     return std::find(ids.begin(), ids.end(), WorkerId{worker}) != ids.end();
   }
 };
@@ -92,6 +95,22 @@
   EXPECT_FALSE(IsAside(0, "letter"));
 }
 
+TEST_F(JudgeTest, AVerdictOnAllKindsTakesThePlaceOfOneOnASingleKind) {
+  Warm("letter");
+  Warm("scan");
+  SharedVerdict verdict;
+  verdict.subject.worker = {3};
+  verdict.service = "cartas";
+  for (const auto* kind : {"scan", ""}) {
+    verdict.subject.kind = kind;
+    ++verdict.sequence;
+    TakePeerVerdict(judge, "a", verdict, now);
+    TakePeerVerdict(judge, "b", verdict, now);
+    EXPECT_TRUE(IsAside(3, "scan"));
+  }
+  EXPECT_EQ(judge.aside.size(), 1U);
+}
+
 TEST_F(JudgeTest, SilenceAndFailedConnectsCountLessThanFailures) {
   Warm();
   const auto failures = FailUntilAside(3, Outcome::kFailed);
@@ -108,21 +127,20 @@
   auto interval = microseconds(seconds(1));
   for (auto n = 0; n < 8; ++n) {
     now.boot += interval - milliseconds(1);
-    EXPECT_FALSE(StartProbe(judge, {3}, {"cartas", "letter"}, now));
+    EXPECT_FALSE(StartProbe(judge, {3}, kLetter, now));
     now.boot += milliseconds(1);
-    EXPECT_TRUE(StartProbe(judge, {3}, {"cartas", "letter"}, now));
-    EXPECT_FALSE(StartProbe(judge, {3}, {"cartas", "letter"}, now))
-        << "one at a time";
+    EXPECT_TRUE(StartProbe(judge, {3}, kLetter, now));
+    EXPECT_FALSE(StartProbe(judge, {3}, kLetter, now)) << "one at a time";
     Record(3, Outcome::kFailed);
     interval = std::min<microseconds>(interval * 2, seconds(64));
   }
   now.boot += interval;
-  StartProbe(judge, {3}, {"cartas", "letter"}, now);
+  StartProbe(judge, {3}, kLetter, now);
   EXPECT_EQ(Record(3, Outcome::kDone).kind, VerdictKind::kReadmitted);
   EXPECT_FALSE(IsAside(3));
   FailUntilAside(3, Outcome::kFailed);
   now.boot += seconds(30);
-  EXPECT_FALSE(StartProbe(judge, {3}, {"cartas", "letter"}, now))
+  EXPECT_FALSE(StartProbe(judge, {3}, kLetter, now))
       << "setbacks are remembered";
 }
 
@@ -131,7 +149,7 @@
   FailUntilAside(3, Outcome::kFailed);
   const auto before = now.boot;
   now.boot += seconds(1);
-  StartProbe(judge, {3}, {"cartas", "letter"}, now);
+  StartProbe(judge, {3}, kLetter, now);
   RecordOutcome(
       judge,
       {{3}, {.sequence = 9}, {"cartas", "letter"}, Outcome::kDone, before},
@@ -139,6 +157,38 @@
   EXPECT_TRUE(IsAside(3));
 }
 
+TEST_F(JudgeTest, ATaskThatIsNotRepeatableIsAProbeOnlyWhenNoOtherComes) {
+  Warm();
+  FailUntilAside(3, Outcome::kFailed);
+  const ProbeTask letter{kLetter.kind, false};
+  now.boot += seconds(30);
+  EXPECT_FALSE(StartProbe(judge, {3}, letter, now));
+  now.boot += seconds(1);
+  EXPECT_TRUE(StartProbe(judge, {3}, letter, now));
+}
+
+TEST_F(JudgeTest, VerdictsOfPeersLowerTheBarButOwnSuccessesOutweighThem) {
+  Warm();
+  FailUntilAside(3, Outcome::kFailed);
+  FailUntilAside(4, Outcome::kConnectFailed);
+  const auto shared = ListSharedVerdicts(judge);
+  ASSERT_EQ(shared.size(), 1U) << "failed connects are not shared";
+
+  judge = {};
+  SetPoolSize(judge, "cartas", 16);
+  Warm();
+  for (auto n = 0; n < 5; ++n) {
+    TakePeerVerdict(judge, "a", shared[0], now);
+  }
+  EXPECT_FALSE(IsAside(3)) << "a verdict that is repeated counts once";
+  Warm();
+  TakePeerVerdict(judge, "b", shared[0], now);
+  EXPECT_FALSE(IsAside(3)) << "own successes came between";
+  EXPECT_EQ(TakePeerVerdict(judge, "c", shared[0], now).kind,
+            VerdictKind::kPutAside);
+  EXPECT_TRUE(ListSharedVerdicts(judge).empty()) << "no echo";
+}
+
 TEST_F(JudgeTest, AStragglerWeighsLessForAWhile) {
   RecordStraggler(judge, {3}, now);
   EXPECT_DOUBLE_EQ(StragglerWeight(judge, {3}, now), 0.5);
@@ -155,11 +205,12 @@
     now.boot += milliseconds(*rc::gen::inRange(0, 300));
     const auto worker = *rc::gen::inRange<uint32_t>(0, workers);
     const std::string kind = *rc::gen::element("letter", "scan");
-    StartProbe(judge, {worker}, {"cartas", kind}, now);
+    StartProbe(judge, {worker}, {{"cartas", kind}, true}, now);
     Record(worker, static_cast<Outcome>(*rc::gen::inRange(0, 4)), kind);
-    RC_ASSERT(FindExclusions(judge, {"cartas", kind}, now).excluded.size() *
-                  100 <=
-              workers * judge.max_ejected_percent);
+    RC_ASSERT(
+        FindExclusions(judge, {{"cartas", kind}, true}, now).excluded.size() *
+            100 <=
+        workers * judge.max_ejected_percent);
   }
 }
 
--- a/tests/servers/health/simulated_fleet.cc
+++ b/tests/servers/health/simulated_fleet.cc
@@ -17,6 +17,7 @@
 namespace {
 
 const WorkKind kLetter{"cartas", "letter"};
+const ProbeTask kTask{kLetter, true};
 constexpr auto kMeanRunTime = milliseconds(250);
 constexpr auto kFailureTime = milliseconds(1);
 constexpr auto kRoundTrip = microseconds(500);
@@ -140,7 +141,7 @@
   auto Dispatch(size_t n) -> void {
     auto& it = instances[n];
     while (!it.queue.empty()) {
-      const auto exclusions = FindExclusions(it.judge, kLetter, now);
+      const auto exclusions = FindExclusions(it.judge, kTask, now);
       const PickRequest request{.service = "cartas",
                                 .excluded = exclusions.excluded,
                                 .probe_due = exclusions.probe_due};
@@ -151,7 +152,7 @@
       }
       const auto task = it.queue.front();
       it.queue.pop_front();
-      StartProbe(it.judge, it.fleet.workers[*index].id, kLetter, now);
+      StartProbe(it.judge, it.fleet.workers[*index].id, kTask, now);
       const auto ticket = OnStart(it.fleet, *index, {});
       ++it.in_progress;
       const auto started = now.boot;
