--- a/tests/servers/health/simulated_fleet.cc
+++ b/tests/servers/health/simulated_fleet.cc
@@ -17,6 +17,7 @@
 namespace {
 
 const WorkKind kLetter{"cartas", "letter"};
+const ProbeTask kTask{kLetter, true};
 constexpr auto kMeanRunTime = milliseconds(250);
 constexpr auto kFailureTime = milliseconds(1);
 constexpr auto kRoundTrip = microseconds(500);
@@ -26,6 +27,7 @@
 struct Task {
   JobId job;
   bool fails = false;
+  microseconds run_time{};
   Instant arrived;
 };
 
@@ -38,6 +40,7 @@
   uint32_t in_progress = 0;
   std::unordered_set<WorkerId> put_aside;
   uint64_t jobs = 0;
+  Random arrivals;  // own numbers: the same work under every policy
 };
 
 struct Simulation {
@@ -61,7 +64,7 @@
   auto BreakTime() const -> Instant {
     return Instant(seconds(1)) + options.broken_at;
   }
-  auto DrawInterval(microseconds mean) -> microseconds {
+  static auto DrawInterval(Random& random, microseconds mean) -> microseconds {
     std::exponential_distribution<double> draw(
         1.0 / static_cast<double>(mean.count()));
     return microseconds(static_cast<int64_t>(draw(random)));
@@ -77,6 +80,7 @@
     for (size_t n = 0; n < instances.size(); ++n) {
       auto& it = instances[n];
       it.name = std::to_string(n);
+      it.arrivals.seed(MixHash(options.seed, n));
       ApplyWorkerList(it.fleet, list, now);
       SetPoolSize(it.judge, "cartas", options.workers);
       Arrive(n);
@@ -120,14 +124,16 @@
     const JobId job{.incarnation = {n + 1}, .sequence = ++it.jobs};
     const auto fails = options.one_job_in_ten_fails && it.jobs % 10 == 0;
     for (uint32_t task = 0; task < options.tasks_per_job; ++task) {
-      it.queue.push_back({job, fails, now.boot});
+      it.queue.push_back(
+          {job, fails, DrawInterval(it.arrivals, kMeanRunTime), now.boot});
     }
     const auto share = (n == 0 ? 2.0 : 1.0) / (options.instances + 1.0);
     const auto tasks_per_us =
         options.workers * 8 * options.load * share /
         static_cast<double>(microseconds(kMeanRunTime).count());
-    At(now.boot + DrawInterval(microseconds(static_cast<int64_t>(
-                      options.tasks_per_job / tasks_per_us))),
+    At(now.boot + DrawInterval(it.arrivals,
+                               microseconds(static_cast<int64_t>(
+                                   options.tasks_per_job / tasks_per_us))),
        [this, n] { Arrive(n); });
     Dispatch(n);
   }
@@ -135,7 +141,7 @@
   auto Dispatch(size_t n) -> void {
     auto& it = instances[n];
     while (!it.queue.empty()) {
-      const auto exclusions = FindExclusions(it.judge, kLetter, now);
+      const auto exclusions = FindExclusions(it.judge, kTask, now);
       const PickRequest request{.service = "cartas",
                                 .excluded = exclusions.excluded,
                                 .probe_due = exclusions.probe_due};
@@ -146,7 +152,7 @@
       }
       const auto task = it.queue.front();
       it.queue.pop_front();
-      StartProbe(it.judge, it.fleet.workers[*index].id, kLetter, now);
+      StartProbe(it.judge, it.fleet.workers[*index].id, kTask, now);
       const auto ticket = OnStart(it.fleet, *index, {});
       ++it.in_progress;
       const auto started = now.boot;
@@ -190,7 +196,7 @@
         options.bad_workers.contains(static_cast<uint32_t>(ticket.index));
     outcome.failed_by_bad_workers += is_bad ? 1 : 0;
     const auto failed = is_bad || task.fails;
-    const auto run_time = failed ? kFailureTime : DrawInterval(kMeanRunTime);
+    const auto run_time = failed ? microseconds(kFailureTime) : task.run_time;
     At(now.boot + run_time, [=, this] { --busy_slots[ticket.index]; });
     At(now.boot + run_time + kRoundTrip / 2,
        [=, this] { Answer(n, task, ticket, started, failed); });
