Space the ledger's writes, and close gaps of its tests

Urgent entries were bounded by one write in flight only: at a write of 5 ms that is 200 a second for each instance, 19,600 for 98, where the table takes several hundred. Every write now keeps a spacing; SpacingFor(98, 300) is 327 ms.

RapidCheck evaluates both sides of "||" in its assertion, also past the end of a map: such assertions now stand in parentheses.

--- a/servers/ledger/ledger_writer.cc
+++ b/servers/ledger/ledger_writer.cc
@@ -92,13 +92,20 @@
 
 auto IsDue(const LedgerWriter& writer, const Now& now) -> bool {
   const auto& queue = writer.pending;
+  const auto& settings = writer.settings;
   if (queue.entries.empty()) {
     return false;
   }
-  return queue.urgent_end > queue.front_position ||
-         queue.bytes >= writer.settings.max_segment_bytes ||
-         writer.phase == LedgerPhase::kClosing ||
-         now.boot - writer.last_built >= writer.settings.interval;
+  if (writer.phase == LedgerPhase::kClosing) {
+    return true;
+  }
+  const auto since_last = now.boot - writer.last_built;
+  if (since_last < settings.spacing) {
+    return false;
+  }
+  return since_last >= settings.interval ||
+         queue.urgent_end > queue.front_position ||
+         queue.bytes >= settings.max_segment_bytes;
 }
 
 // Takes as many entries as one segment holds, at least one.
@@ -189,6 +196,13 @@
 
 }  // namespace
 
+auto SpacingFor(uint32_t instances, uint32_t table_writes_per_second)
+    -> milliseconds {
+  const auto writes = std::max<uint64_t>(table_writes_per_second, 1);
+  const auto total = uint64_t{instances} * 1000;
+  return milliseconds((total + writes - 1) / writes);
+}
+
 auto MakeLedgerWriter(const LedgerSettings& settings,
                       IncarnationRow row,
                       const Now& started) -> LedgerWriter {
@@ -196,7 +210,9 @@
       .settings = settings, .row = std::move(row), .started = started};
   writer.row.started = started.wall;
   writer.row.operation_id = NextOperationId(writer);
-  writer.last_built = started.boot;
+  // The first entry waits for nothing.
+  writer.last_built =
+      started.boot - std::max(settings.interval, settings.spacing);
   return writer;
 }
 
--- a/servers/ledger/ledger_writer.h
+++ b/servers/ledger/ledger_writer.h
@@ -24,7 +24,8 @@
 namespace boragecroft {
 
 struct LedgerSettings {
-  milliseconds interval = milliseconds(200);  // between writes, unless urgent
+  milliseconds interval = milliseconds(500);  // between writes, unless urgent
+  milliseconds spacing = milliseconds(330);   // between any two; SpacingFor
   milliseconds retry_delay = milliseconds(500);
   milliseconds suspect_after = seconds(2);  // see IsPlatformSuspect
   milliseconds segment_span = seconds(30);  // age range within one segment
@@ -32,6 +33,10 @@
   size_t max_pending_bytes = size_t{16} << 20U;
 };
 
+// The spacing by which `instances` share the table's writes evenly.
+auto SpacingFor(uint32_t instances, uint32_t table_writes_per_second)
+    -> milliseconds;
+
 enum class LedgerPhase : uint8_t {
   kOpening,  // the incarnation's row is not known to be durable
   kOpen,
--- a/tests/servers/identity/id_mint_test.cc
+++ b/tests/servers/identity/id_mint_test.cc
@@ -114,6 +114,7 @@
   using Steps = std::vector<std::tuple<uint8_t, uint8_t, uint8_t>>;
   const auto steps = *rc::gen::resize(400, rc::gen::arbitrary<Steps>());
   auto mint = MakeMint();
+  mint.retention = seconds(*rc::gen::element(3, 30));
   milliseconds time{};
   std::vector<JobId> ids;
   std::unordered_map<JobId, IdVerdict>
@@ -133,6 +134,12 @@
       const auto& id = ids[(a * 256 + b) % ids.size()];
       const auto verdict = CheckId(mint, id, "bank", now);
       RC_ASSERT(verdict != IdVerdict::kNotMinted);
+      const auto before = settled.find(id);
+      RC_ASSERT((before == settled.end() || verdict == before->second ||
+                 verdict == IdVerdict::kBelowRetained));
+      RC_ASSERT((before != settled.end() ||
+                 (verdict == IdVerdict::kFresh) ==
+                     (RecordTime(mint.started, now) <= id.minted + kTerm)));
       if (verdict != IdVerdict::kFresh) {
         RC_ASSERT(!MarkUsed(mint, id, now));
         settled.try_emplace(id, verdict);
--- a/tests/servers/ledger/claim_test.cc
+++ b/tests/servers/ledger/claim_test.cc
@@ -64,8 +64,8 @@
   }
   check();
   for (const auto& it : callers) {
-    RC_ASSERT(it.claim.phase == ClaimPhase::kWon ||
-              it.claim.phase == ClaimPhase::kLost);
+    RC_ASSERT((it.claim.phase == ClaimPhase::kWon ||
+               it.claim.phase == ClaimPhase::kLost));
   }
 }
 
--- a/tests/servers/ledger/ledger_story_test.cc
+++ b/tests/servers/ledger/ledger_story_test.cc
@@ -84,8 +84,8 @@
     RC_ASSERT(RecordOf(world, it).addendum.has_value());
     JobOf(world, it).final_durable = true;
   }
-  RC_ASSERT(!events.deposed || RowOf(world)->closed);
-  RC_ASSERT(!events.closed || RowOf(world)->clean);
+  RC_ASSERT((!events.deposed || RowOf(world)->closed));
+  RC_ASSERT((!events.closed || RowOf(world)->clean));
 }
 
 auto MayAccept(const World& world) -> bool {
@@ -142,7 +142,7 @@
 auto RaiseWatermark(World& world, const Job& job, uint8_t b) -> void {
   const WatermarkEntry entry{.job = job.id, .started_below = 1U + b % 4};
   const auto verdict = Add(world.writer, entry, Urgency::kUrgent, world.now);
-  RC_ASSERT(job.recorded || verdict != AddVerdict::kAdded);
+  RC_ASSERT((job.recorded || verdict != AddVerdict::kAdded));
 }
 
 auto Finish(World& world, Job& job) -> void {
@@ -237,12 +237,12 @@
   }
   uint32_t index = 0;
   for (const auto& run : answer.tasks) {
-    RC_ASSERT(run.state != TaskState::kNotRun || job.started <= index);
+    RC_ASSERT((run.state != TaskState::kNotRun || job.started <= index));
     index += run.count;
   }
-  RC_ASSERT(!answer.tasks_known || index == job.tasks);
-  RC_ASSERT(answer.state != JobState::kDone ||
-            answer.results.size() == job.tasks);
+  RC_ASSERT((!answer.tasks_known || index == job.tasks));
+  RC_ASSERT(
+      (answer.state != JobState::kDone || answer.results.size() == job.tasks));
 }
 
 auto CheckAnswers(World& world) -> void {
@@ -252,7 +252,7 @@
       OnScanned(lookup, Scan(world.table, *scan));
     }
     const auto answer = AnswerOf(lookup);
-    RC_ASSERT(!world.closed_row || answer.kind == AnswerKind::kFinal);
+    RC_ASSERT((!world.closed_row || answer.kind == AnswerKind::kFinal));
     CheckAnswer(world, answer, job);
   }
 }
@@ -368,7 +368,7 @@
     RC_ASSERT(ends == ended);
     RC_ASSERT(job.final_durable == job.finished);
     const auto is_deposed = world.writer.phase == LedgerPhase::kDeposed;
-    RC_ASSERT(is_deposed || starts == (job.recorded ? 1U : 0U));
+    RC_ASSERT((is_deposed || starts == (job.recorded ? 1U : 0U)));
   }
 }
 
@@ -377,7 +377,9 @@
   const auto steps = *rc::gen::resize(400, rc::gen::arbitrary<Steps>());
   World world;
   world.writer = MakeLedgerWriter(
-      {.interval = milliseconds(100), .retry_delay = milliseconds(50)},
+      {.interval = milliseconds(100),
+       .spacing = milliseconds(10),
+       .retry_delay = milliseconds(50)},
       IncarnationRow{.incarnation = kOwner, .instance = "a1"}, world.now);
   for (const auto& [kind, a, b] : steps) {
     const auto step = kind % 16;
--- a/tests/servers/ledger/ledger_writer_test.cc
+++ b/tests/servers/ledger/ledger_writer_test.cc
@@ -15,12 +15,14 @@
  protected:
   OpenLedgerTest() {
     writer_ = MakeLedgerWriter({.interval = milliseconds(200),
+                                .spacing = milliseconds(0),
                                 .retry_delay = milliseconds(500),
                                 .suspect_after = seconds(2),
                                 .max_segment_bytes = 4096,
                                 .max_pending_bytes = 20000},
                                {.incarnation = kOwner}, now_);
     EXPECT_TRUE(Settle().opened);
+    writer_.last_built = now_.boot;
   }
   auto Pass(milliseconds time) -> void {
     now_.boot += time;
@@ -77,6 +79,43 @@
   EXPECT_EQ(Settle().watermarks, (std::vector{DurableWatermark{job, 7}}));
 }
 
+TEST_F(OpenLedgerTest, KeepsItsShareOfTheTablesWritesEvenWhenUrgent) {
+  EXPECT_EQ(SpacingFor(98, 300), milliseconds(327));
+  writer_.settings.spacing = milliseconds(100);
+  Accept(1);
+  Add(writer_, WatermarkEntry{Accept(2), 3}, Urgency::kUrgent, now_);
+  EXPECT_FALSE(NextTransaction(writer_, now_));
+  Pass(milliseconds(100));
+  EXPECT_EQ(Settle().watermarks.size(), 3U);
+}
+
+TEST_F(OpenLedgerTest, SkipsAnAddendumNumberThatIsTaken) {
+  Finish(1, 10);
+  const auto closing =
+      CloseTransaction(kOwner, Read(table_, IncarnationKey(kOwner)),
+                       {.closed_by = {7}, .operation_id = "closing"});
+  Send(table_, *closing, Fate::kAnswered);
+  const auto key = AddendumKey(kOwner, 0);
+  table_.rows[key] = {.key = key, .version = 1, .value = "{}"};
+  LedgerEvents all;
+  for (auto i = 0; i < 10; ++i) {
+    Pass(milliseconds(200));
+    auto events = Settle();
+    std::vector<TableRow> rows;
+    for (const auto& it : PendingReadBack(writer_)) {
+      rows.push_back(Read(table_, it));
+    }
+    const auto settled = OnReadBack(writer_, rows, now_);
+    all.deposed = all.deposed || settled.deposed;
+    all.addendum_finals.insert(all.addendum_finals.end(),
+                               events.addendum_finals.begin(),
+                               events.addendum_finals.end());
+  }
+  EXPECT_TRUE(all.deposed);
+  EXPECT_EQ(all.addendum_finals.size(), 1U);
+  EXPECT_EQ(Read(table_, AddendumKey(kOwner, 1)).version, 1U);
+}
+
 TEST_F(OpenLedgerTest, RecordsNoWatermarkOfAJobThatStartedUnrecorded) {
   const JobId job{.incarnation = kOwner, .sequence = 5};
   EXPECT_EQ(Add(writer_, WatermarkEntry{job, 1}, Urgency::kUrgent, now_),
--- a/tests/servers/ledger/lookup_test.cc
+++ b/tests/servers/ledger/lookup_test.cc
@@ -81,6 +81,33 @@
   EXPECT_EQ(pages_, 69);  // 100 s to 770 s in tens, and the addenda
 }
 
+TEST_F(LookupTest, MissesNoSegmentOfNeighbouringMilliseconds) {
+  for (milliseconds it = job_.minted.time_since_epoch(); it < seconds(101);
+       it += milliseconds(1)) {
+    const auto key = SegmentKey(kOwner, WallTime(it));
+    LedgerSegment segment;
+    // Rising watermarks, of which the last counts, and the accepted entry.
+    const auto below = static_cast<uint32_t>(it.count() % 1000) / 10;
+    segment.entries = {WatermarkEntry{job_, below}};
+    if (it.count() % 1000 == 10) {
+      auto accepted = Accepted(0);
+      accepted.tasks = 1000;
+      segment.entries.emplace_back(accepted);
+    }
+    table_.rows[key] = {.key = key, .version = 1, .value = ToJsonText(segment)};
+  }
+  const auto answer = Run(Closed(false));
+  EXPECT_EQ(CountTasks(answer.tasks, TaskState::kMayHaveRun), 99U);
+  EXPECT_EQ(CountTasks(answer.tasks, TaskState::kNotRun), 901U);
+}
+
+TEST_F(LookupTest, AnswersWithTheFirstOfTwoFinalEntries) {
+  AddSegmentAt(seconds(102), {FinalEntry{.job = job_, .reason = "first"},
+                              FinalEntry{.job = job_, .reason = "second"}});
+  AddSegmentAt(seconds(103), {FinalEntry{.job = job_, .reason = "third"}});
+  EXPECT_EQ(Run(Closed(false)).reason, "first");
+}
+
 TEST_F(LookupTest, IsUndecidedWhileTheLedgerIsOpen) {
   AddSegmentAt(seconds(101), {Accepted(0)});
   EXPECT_EQ(Run(IncarnationRow{.incarnation = kOwner}).kind,
