Share the teams' quotas between the instances of a zone

Cause: each instance allowed itself every team's whole quota. Heartbeats now carry the roster, demands and leases of servers/quota, with the time at which the confirmed heartbeat was sent, and the shares add up to the quota. An instance that the list names but nobody heard holds the agreement up: nothing is claimed that it may be using. Ruled out: counting such an instance as absent, which would let a cut zone's parts overlap. Also: a payload that is a bare number is JSON, and a quoted value is cut between characters (both failed first in core_tests).

--- a/core/json/object_reader.cc
+++ b/core/json/object_reader.cc
@@ -8,10 +8,22 @@
 
 constexpr size_t kShownValueBytes = 80;
 
+// The longest prefix of at most `limit` bytes that ends between two UTF-8
+// characters.
+auto CutText(const std::string& text, size_t limit) -> std::string {
+  constexpr uint8_t kContinuationMask = 0xC0;
+  constexpr uint8_t kContinuation = 0x80;
+  while (limit > 0 && (static_cast<uint8_t>(text[limit]) & kContinuationMask) ==
+                          kContinuation) {
+    --limit;
+  }
+  return text.substr(0, limit);
+}
+
 auto Describe(const json::value& value) -> std::string {
   auto text = json::serialize(value);
   if (text.size() > kShownValueBytes) {
-    text = text.substr(0, kShownValueBytes) + "...";
+    text = CutText(text, kShownValueBytes) + "...";
   }
   return text;
 }
--- a/core/json/text.cc
+++ b/core/json/text.cc
@@ -20,8 +20,10 @@
     return JsonSyntaxError{.reason = "text after the end of the value",
                            .offset = consumed};
   }
-  if (!parser.done()) {
-    return JsonSyntaxError{.reason = "incomplete JSON", .offset = consumed};
+  // Ends a number that could still go on, and finds a value that is incomplete.
+  parser.finish(ec);
+  if (ec) {
+    return JsonSyntaxError{.reason = ec.message(), .offset = consumed};
   }
   return parser.release();
 }
--- a/peers/instance/boragecroft.thrift
+++ b/peers/instance/boragecroft.thrift
@@ -64,6 +64,9 @@
   8: list<WireDemand> team_demands
   9: i64 echo_incarnation
   10: i64 echo_sequence
+  11: i64 roster_digest
+  12: bool quota_claims
+  13: list<WireDemand> quota_leases
 }
 
 struct WireConfigurationRequest {
--- a/peers/instance/gen/boragecroft_types.cpp
+++ b/peers/instance/gen/boragecroft_types.cpp
@@ -1288,6 +1288,18 @@
 void WireHeartbeat::__set_echo_sequence(const int64_t val) {
   this->echo_sequence = val;
 }
+
+void WireHeartbeat::__set_roster_digest(const int64_t val) {
+  this->roster_digest = val;
+}
+
+void WireHeartbeat::__set_quota_claims(const bool val) {
+  this->quota_claims = val;
+}
+
+void WireHeartbeat::__set_quota_leases(const std::vector<WireDemand> & val) {
+  this->quota_leases = val;
+}
 std::ostream& operator<<(std::ostream& out, const WireHeartbeat& obj)
 {
   obj.printTo(out);
@@ -1420,6 +1432,42 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->roster_digest);
+          this->__isset.roster_digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->quota_claims);
+          this->__isset.quota_claims = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->quota_leases.clear();
+            uint32_t _size42;
+            ::apache::thrift::protocol::TType _etype45;
+            xfer += iprot->readListBegin(_etype45, _size42);
+            this->quota_leases.resize(_size42);
+            uint32_t _i46;
+            for (_i46 = 0; _i46 < _size42; ++_i46)
+            {
+              xfer += this->quota_leases[_i46].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.quota_leases = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1464,10 +1512,10 @@
   xfer += oprot->writeFieldBegin("service_demands", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->service_demands.size()));
-    std::vector<WireDemand> ::const_iterator _iter42;
-    for (_iter42 = this->service_demands.begin(); _iter42 != this->service_demands.end(); ++_iter42)
+    std::vector<WireDemand> ::const_iterator _iter47;
+    for (_iter47 = this->service_demands.begin(); _iter47 != this->service_demands.end(); ++_iter47)
     {
-      xfer += (*_iter42).write(oprot);
+      xfer += (*_iter47).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1476,10 +1524,10 @@
   xfer += oprot->writeFieldBegin("team_demands", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->team_demands.size()));
-    std::vector<WireDemand> ::const_iterator _iter43;
-    for (_iter43 = this->team_demands.begin(); _iter43 != this->team_demands.end(); ++_iter43)
+    std::vector<WireDemand> ::const_iterator _iter48;
+    for (_iter48 = this->team_demands.begin(); _iter48 != this->team_demands.end(); ++_iter48)
     {
-      xfer += (*_iter43).write(oprot);
+      xfer += (*_iter48).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1493,6 +1541,26 @@
   xfer += oprot->writeI64(this->echo_sequence);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("roster_digest", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->roster_digest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("quota_claims", ::apache::thrift::protocol::T_BOOL, 12);
+  xfer += oprot->writeBool(this->quota_claims);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("quota_leases", ::apache::thrift::protocol::T_LIST, 13);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quota_leases.size()));
+    std::vector<WireDemand> ::const_iterator _iter49;
+    for (_iter49 = this->quota_leases.begin(); _iter49 != this->quota_leases.end(); ++_iter49)
+    {
+      xfer += (*_iter49).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1510,61 +1578,76 @@
   swap(a.team_demands, b.team_demands);
   swap(a.echo_incarnation, b.echo_incarnation);
   swap(a.echo_sequence, b.echo_sequence);
+  swap(a.roster_digest, b.roster_digest);
+  swap(a.quota_claims, b.quota_claims);
+  swap(a.quota_leases, b.quota_leases);
   swap(a.__isset, b.__isset);
 }
 
-WireHeartbeat::WireHeartbeat(const WireHeartbeat& other44) {
-  instance = other44.instance;
-  zone = other44.zone;
-  address = other44.address;
-  sequence = other44.sequence;
-  configuration_version = other44.configuration_version;
-  leaving = other44.leaving;
-  service_demands = other44.service_demands;
-  team_demands = other44.team_demands;
-  echo_incarnation = other44.echo_incarnation;
-  echo_sequence = other44.echo_sequence;
-  __isset = other44.__isset;
-}
-WireHeartbeat::WireHeartbeat(WireHeartbeat&& other45) noexcept {
-  instance = std::move(other45.instance);
-  zone = std::move(other45.zone);
-  address = std::move(other45.address);
-  sequence = other45.sequence;
-  configuration_version = other45.configuration_version;
-  leaving = other45.leaving;
-  service_demands = std::move(other45.service_demands);
-  team_demands = std::move(other45.team_demands);
-  echo_incarnation = other45.echo_incarnation;
-  echo_sequence = other45.echo_sequence;
-  __isset = other45.__isset;
-}
-WireHeartbeat& WireHeartbeat::operator=(const WireHeartbeat& other46) {
-  instance = other46.instance;
-  zone = other46.zone;
-  address = other46.address;
-  sequence = other46.sequence;
-  configuration_version = other46.configuration_version;
-  leaving = other46.leaving;
-  service_demands = other46.service_demands;
-  team_demands = other46.team_demands;
-  echo_incarnation = other46.echo_incarnation;
-  echo_sequence = other46.echo_sequence;
-  __isset = other46.__isset;
+WireHeartbeat::WireHeartbeat(const WireHeartbeat& other50) {
+  instance = other50.instance;
+  zone = other50.zone;
+  address = other50.address;
+  sequence = other50.sequence;
+  configuration_version = other50.configuration_version;
+  leaving = other50.leaving;
+  service_demands = other50.service_demands;
+  team_demands = other50.team_demands;
+  echo_incarnation = other50.echo_incarnation;
+  echo_sequence = other50.echo_sequence;
+  roster_digest = other50.roster_digest;
+  quota_claims = other50.quota_claims;
+  quota_leases = other50.quota_leases;
+  __isset = other50.__isset;
+}
+WireHeartbeat::WireHeartbeat(WireHeartbeat&& other51) noexcept {
+  instance = std::move(other51.instance);
+  zone = std::move(other51.zone);
+  address = std::move(other51.address);
+  sequence = other51.sequence;
+  configuration_version = other51.configuration_version;
+  leaving = other51.leaving;
+  service_demands = std::move(other51.service_demands);
+  team_demands = std::move(other51.team_demands);
+  echo_incarnation = other51.echo_incarnation;
+  echo_sequence = other51.echo_sequence;
+  roster_digest = other51.roster_digest;
+  quota_claims = other51.quota_claims;
+  quota_leases = std::move(other51.quota_leases);
+  __isset = other51.__isset;
+}
+WireHeartbeat& WireHeartbeat::operator=(const WireHeartbeat& other52) {
+  instance = other52.instance;
+  zone = other52.zone;
+  address = other52.address;
+  sequence = other52.sequence;
+  configuration_version = other52.configuration_version;
+  leaving = other52.leaving;
+  service_demands = other52.service_demands;
+  team_demands = other52.team_demands;
+  echo_incarnation = other52.echo_incarnation;
+  echo_sequence = other52.echo_sequence;
+  roster_digest = other52.roster_digest;
+  quota_claims = other52.quota_claims;
+  quota_leases = other52.quota_leases;
+  __isset = other52.__isset;
   return *this;
 }
-WireHeartbeat& WireHeartbeat::operator=(WireHeartbeat&& other47) noexcept {
-  instance = std::move(other47.instance);
-  zone = std::move(other47.zone);
-  address = std::move(other47.address);
-  sequence = other47.sequence;
-  configuration_version = other47.configuration_version;
-  leaving = other47.leaving;
-  service_demands = std::move(other47.service_demands);
-  team_demands = std::move(other47.team_demands);
-  echo_incarnation = other47.echo_incarnation;
-  echo_sequence = other47.echo_sequence;
-  __isset = other47.__isset;
+WireHeartbeat& WireHeartbeat::operator=(WireHeartbeat&& other53) noexcept {
+  instance = std::move(other53.instance);
+  zone = std::move(other53.zone);
+  address = std::move(other53.address);
+  sequence = other53.sequence;
+  configuration_version = other53.configuration_version;
+  leaving = other53.leaving;
+  service_demands = std::move(other53.service_demands);
+  team_demands = std::move(other53.team_demands);
+  echo_incarnation = other53.echo_incarnation;
+  echo_sequence = other53.echo_sequence;
+  roster_digest = other53.roster_digest;
+  quota_claims = other53.quota_claims;
+  quota_leases = std::move(other53.quota_leases);
+  __isset = other53.__isset;
   return *this;
 }
 void WireHeartbeat::printTo(std::ostream& out) const {
@@ -1580,6 +1663,9 @@
   out << ", " << "team_demands=" << to_string(team_demands);
   out << ", " << "echo_incarnation=" << to_string(echo_incarnation);
   out << ", " << "echo_sequence=" << to_string(echo_sequence);
+  out << ", " << "roster_digest=" << to_string(roster_digest);
+  out << ", " << "quota_claims=" << to_string(quota_claims);
+  out << ", " << "quota_leases=" << to_string(quota_leases);
   out << ")";
 }
 
@@ -1659,22 +1745,22 @@
   swap(a.__isset, b.__isset);
 }
 
-WireConfigurationRequest::WireConfigurationRequest(const WireConfigurationRequest& other48) noexcept {
-  known_version = other48.known_version;
-  __isset = other48.__isset;
+WireConfigurationRequest::WireConfigurationRequest(const WireConfigurationRequest& other54) noexcept {
+  known_version = other54.known_version;
+  __isset = other54.__isset;
 }
-WireConfigurationRequest::WireConfigurationRequest(WireConfigurationRequest&& other49) noexcept {
-  known_version = other49.known_version;
-  __isset = other49.__isset;
+WireConfigurationRequest::WireConfigurationRequest(WireConfigurationRequest&& other55) noexcept {
+  known_version = other55.known_version;
+  __isset = other55.__isset;
 }
-WireConfigurationRequest& WireConfigurationRequest::operator=(const WireConfigurationRequest& other50) noexcept {
-  known_version = other50.known_version;
-  __isset = other50.__isset;
+WireConfigurationRequest& WireConfigurationRequest::operator=(const WireConfigurationRequest& other56) noexcept {
+  known_version = other56.known_version;
+  __isset = other56.__isset;
   return *this;
 }
-WireConfigurationRequest& WireConfigurationRequest::operator=(WireConfigurationRequest&& other51) noexcept {
-  known_version = other51.known_version;
-  __isset = other51.__isset;
+WireConfigurationRequest& WireConfigurationRequest::operator=(WireConfigurationRequest&& other57) noexcept {
+  known_version = other57.known_version;
+  __isset = other57.__isset;
   return *this;
 }
 void WireConfigurationRequest::printTo(std::ostream& out) const {
@@ -1777,26 +1863,26 @@
   swap(a.__isset, b.__isset);
 }
 
-WireConfiguration::WireConfiguration(const WireConfiguration& other52) {
-  version = other52.version;
-  document = other52.document;
-  __isset = other52.__isset;
+WireConfiguration::WireConfiguration(const WireConfiguration& other58) {
+  version = other58.version;
+  document = other58.document;
+  __isset = other58.__isset;
 }
-WireConfiguration::WireConfiguration(WireConfiguration&& other53) noexcept {
-  version = other53.version;
-  document = std::move(other53.document);
-  __isset = other53.__isset;
+WireConfiguration::WireConfiguration(WireConfiguration&& other59) noexcept {
+  version = other59.version;
+  document = std::move(other59.document);
+  __isset = other59.__isset;
 }
-WireConfiguration& WireConfiguration::operator=(const WireConfiguration& other54) {
-  version = other54.version;
-  document = other54.document;
-  __isset = other54.__isset;
+WireConfiguration& WireConfiguration::operator=(const WireConfiguration& other60) {
+  version = other60.version;
+  document = other60.document;
+  __isset = other60.__isset;
   return *this;
 }
-WireConfiguration& WireConfiguration::operator=(WireConfiguration&& other55) noexcept {
-  version = other55.version;
-  document = std::move(other55.document);
-  __isset = other55.__isset;
+WireConfiguration& WireConfiguration::operator=(WireConfiguration&& other61) noexcept {
+  version = other61.version;
+  document = std::move(other61.document);
+  __isset = other61.__isset;
   return *this;
 }
 void WireConfiguration::printTo(std::ostream& out) const {
@@ -1978,42 +2064,42 @@
   swap(a.__isset, b.__isset);
 }
 
-WireMessage::WireMessage(const WireMessage& other56) {
-  from_incarnation = other56.from_incarnation;
-  heartbeat = other56.heartbeat;
-  relay_request = other56.relay_request;
-  relay_reply = other56.relay_reply;
-  configuration_request = other56.configuration_request;
-  configuration = other56.configuration;
-  __isset = other56.__isset;
-}
-WireMessage::WireMessage(WireMessage&& other57) noexcept {
-  from_incarnation = other57.from_incarnation;
-  heartbeat = std::move(other57.heartbeat);
-  relay_request = std::move(other57.relay_request);
-  relay_reply = std::move(other57.relay_reply);
-  configuration_request = std::move(other57.configuration_request);
-  configuration = std::move(other57.configuration);
-  __isset = other57.__isset;
-}
-WireMessage& WireMessage::operator=(const WireMessage& other58) {
-  from_incarnation = other58.from_incarnation;
-  heartbeat = other58.heartbeat;
-  relay_request = other58.relay_request;
-  relay_reply = other58.relay_reply;
-  configuration_request = other58.configuration_request;
-  configuration = other58.configuration;
-  __isset = other58.__isset;
+WireMessage::WireMessage(const WireMessage& other62) {
+  from_incarnation = other62.from_incarnation;
+  heartbeat = other62.heartbeat;
+  relay_request = other62.relay_request;
+  relay_reply = other62.relay_reply;
+  configuration_request = other62.configuration_request;
+  configuration = other62.configuration;
+  __isset = other62.__isset;
+}
+WireMessage::WireMessage(WireMessage&& other63) noexcept {
+  from_incarnation = other63.from_incarnation;
+  heartbeat = std::move(other63.heartbeat);
+  relay_request = std::move(other63.relay_request);
+  relay_reply = std::move(other63.relay_reply);
+  configuration_request = std::move(other63.configuration_request);
+  configuration = std::move(other63.configuration);
+  __isset = other63.__isset;
+}
+WireMessage& WireMessage::operator=(const WireMessage& other64) {
+  from_incarnation = other64.from_incarnation;
+  heartbeat = other64.heartbeat;
+  relay_request = other64.relay_request;
+  relay_reply = other64.relay_reply;
+  configuration_request = other64.configuration_request;
+  configuration = other64.configuration;
+  __isset = other64.__isset;
   return *this;
 }
-WireMessage& WireMessage::operator=(WireMessage&& other59) noexcept {
-  from_incarnation = other59.from_incarnation;
-  heartbeat = std::move(other59.heartbeat);
-  relay_request = std::move(other59.relay_request);
-  relay_reply = std::move(other59.relay_reply);
-  configuration_request = std::move(other59.configuration_request);
-  configuration = std::move(other59.configuration);
-  __isset = other59.__isset;
+WireMessage& WireMessage::operator=(WireMessage&& other65) noexcept {
+  from_incarnation = other65.from_incarnation;
+  heartbeat = std::move(other65.heartbeat);
+  relay_request = std::move(other65.relay_request);
+  relay_reply = std::move(other65.relay_reply);
+  configuration_request = std::move(other65.configuration_request);
+  configuration = std::move(other65.configuration);
+  __isset = other65.__isset;
   return *this;
 }
 void WireMessage::printTo(std::ostream& out) const {
--- a/peers/instance/gen/boragecroft_types.h
+++ b/peers/instance/gen/boragecroft_types.h
@@ -482,7 +482,7 @@
 std::ostream& operator<<(std::ostream& out, const WireDemand& obj);
 
 typedef struct _WireHeartbeat__isset {
-  _WireHeartbeat__isset() : instance(false), zone(false), address(false), sequence(false), configuration_version(false), leaving(false), service_demands(false), team_demands(false), echo_incarnation(false), echo_sequence(false) {}
+  _WireHeartbeat__isset() : instance(false), zone(false), address(false), sequence(false), configuration_version(false), leaving(false), service_demands(false), team_demands(false), echo_incarnation(false), echo_sequence(false), roster_digest(false), quota_claims(false), quota_leases(false) {}
   bool instance :1;
   bool zone :1;
   bool address :1;
@@ -493,6 +493,9 @@
   bool team_demands :1;
   bool echo_incarnation :1;
   bool echo_sequence :1;
+  bool roster_digest :1;
+  bool quota_claims :1;
+  bool quota_leases :1;
 } _WireHeartbeat__isset;
 
 class WireHeartbeat : public virtual ::apache::thrift::TBase {
@@ -510,7 +513,9 @@
                   configuration_version(0),
                   leaving(0),
                   echo_incarnation(0),
-                  echo_sequence(0) {
+                  echo_sequence(0),
+                  roster_digest(0),
+                  quota_claims(0) {
   }
 
   virtual ~WireHeartbeat() noexcept;
@@ -524,6 +529,9 @@
   std::vector<WireDemand>  team_demands;
   int64_t echo_incarnation;
   int64_t echo_sequence;
+  int64_t roster_digest;
+  bool quota_claims;
+  std::vector<WireDemand>  quota_leases;
 
   _WireHeartbeat__isset __isset;
 
@@ -547,6 +555,12 @@
 
   void __set_echo_sequence(const int64_t val);
 
+  void __set_roster_digest(const int64_t val);
+
+  void __set_quota_claims(const bool val);
+
+  void __set_quota_leases(const std::vector<WireDemand> & val);
+
   bool operator == (const WireHeartbeat & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -569,6 +583,12 @@
       return false;
     if (!(echo_sequence == rhs.echo_sequence))
       return false;
+    if (!(roster_digest == rhs.roster_digest))
+      return false;
+    if (!(quota_claims == rhs.quota_claims))
+      return false;
+    if (!(quota_leases == rhs.quota_leases))
+      return false;
     return true;
   }
   bool operator != (const WireHeartbeat &rhs) const {
--- a/peers/instance/instance_codec.cc
+++ b/peers/instance/instance_codec.cc
@@ -140,6 +140,9 @@
   out.team_demands = ToWireDemands(it.team_demands);
   out.echo_incarnation = static_cast<int64_t>(it.echo_incarnation.value);
   out.echo_sequence = static_cast<int64_t>(it.echo_sequence);
+  out.roster_digest = static_cast<int64_t>(it.roster_digest);
+  out.quota_claims = it.quota_claims;
+  out.quota_leases = ToWireDemands(it.quota_leases);
   message.__set_heartbeat(std::move(out));
 }
 
@@ -229,6 +232,9 @@
   out.echo_incarnation =
       Incarnation{static_cast<uint64_t>(in.echo_incarnation)};
   out.echo_sequence = static_cast<uint64_t>(in.echo_sequence);
+  out.roster_digest = static_cast<uint64_t>(in.roster_digest);
+  out.quota_claims = in.quota_claims;
+  out.quota_leases = FromWireDemands(in.quota_leases);
   return out;
 }
 
--- a/servers/dispatcher/dispatcher.cc
+++ b/servers/dispatcher/dispatcher.cc
@@ -93,6 +93,7 @@
   auto dispatcher = std::make_unique<Dispatcher>();
   dispatcher->self = self;
   dispatcher->started = now;
+  dispatcher->quota_state.roster.self = self;
   dispatcher->random.seed(seed);
   dispatcher->mint.incarnation = self;
   dispatcher->mint.started = now;
--- a/servers/dispatcher/membership_flow.cc
+++ b/servers/dispatcher/membership_flow.cc
@@ -5,8 +5,8 @@
 #include "core/log/log.h"
 #include "servers/dispatcher/admitting.h"
 #include "servers/dispatcher/configuration_flow.h"
+#include "servers/dispatcher/quota_flow.h"
 #include "servers/dispatcher/record_flow.h"
-#include "servers/dispatcher/task_settlement.h"
 
 namespace boragecroft {
 namespace {
@@ -51,6 +51,7 @@
 auto ApplyList(Step& step, const InstanceList& list) -> void {
   auto& dispatcher = step.dispatcher;
   ApplyInstanceList(dispatcher.membership, list.instances, step.now.boot);
+  UpdateQuotaRoster(step);
   WorkerList workers;
   workers.as_of = list.as_of.value_or(step.now.wall);
   for (const auto& it : list.workers) {
@@ -118,11 +119,14 @@
     return;
   }
   const auto demands = ServiceDemands(step);
+  const auto reports = MakeQuotaReports(step);
   for (const auto index : due) {
     const auto& peer = dispatcher.membership.peers[index];
     PeerMessage message;
     message.from = dispatcher.self;
-    message.body = MakeHeartbeat(dispatcher, peer, demands);
+    auto heartbeat = MakeHeartbeat(dispatcher, peer, demands);
+    PutQuotaReport(reports, peer.incarnation, heartbeat);
+    message.body = std::move(heartbeat);
     step.out.peers.emplace_back(
         SendToPeer{.to = peer.address, .message = std::move(message)});
     ++dispatcher.counters.heartbeats_sent;
@@ -203,6 +207,7 @@
   }
   if (const auto* peer = FindPeer(dispatcher.membership, from)) {
     NotePeerVersion(step, *peer, heartbeat.configuration_version);
+    TakeQuotaReport(step, *peer, heartbeat);
   }
 }
 
--- a/servers/dispatcher/membership_flow.h
+++ b/servers/dispatcher/membership_flow.h
@@ -11,9 +11,6 @@
 // tick.
 auto TendMembership(Step& step) -> void;
 
-// Renews this instance's shares of the teams' quotas.
-auto ShareQuotas(Step& step) -> void;
-
 auto OnHeartbeat(Step& step, Incarnation from, const Heartbeat& heartbeat)
     -> void;
 
--- a/servers/dispatcher/peer_messages.h
+++ b/servers/dispatcher/peer_messages.h
@@ -29,6 +29,11 @@
   bool leaving = false;
   std::vector<Demand> service_demands;
   std::vector<Demand> team_demands;
+  // Quotas: the roster that the sender promised, whether it uses its part of
+  // it, and what it lends to the receiver.
+  uint64_t roster_digest = 0;
+  bool quota_claims = false;
+  std::vector<Demand> quota_leases;
   // The last heartbeat that the sender heard from the receiver: shows the
   // receiver whether its own arrive.
   Incarnation echo_incarnation;
--- a/servers/dispatcher/quota_flow.cc
+++ b/servers/dispatcher/quota_flow.cc
@@ -1,7 +1,84 @@
-#include "servers/dispatcher/membership_flow.h"
+#include "servers/dispatcher/quota_flow.h"
+
+#include <algorithm>
+#include <utility>
+
 #include "servers/dispatcher/task_settlement.h"
 
 namespace boragecroft {
+namespace {
+
+// Equal weights: the declarations do not say how many workers a zone has.
+auto MakePlan(const Dispatcher& dispatcher, const Configuration& configuration)
+    -> QuotaPlan {
+  QuotaPlan plan;
+  for (const auto& it : configuration.teams) {
+    plan.quotas.push_back(TeamTasks{.team = it.name, .tasks = it.quota_tasks});
+  }
+  for (size_t i = 0; i < configuration.zones.size(); ++i) {
+    plan.zone_weights.push_back(1);
+    if (configuration.zones[i].name == dispatcher.settings.zone) {
+      plan.zone = static_cast<uint32_t>(i);
+    }
+  }
+  return plan;
+}
+
+auto WaitingTasks(const Dispatcher& dispatcher, const std::string& partner)
+    -> uint64_t {
+  uint64_t tasks = 0;
+  for (const auto& it : dispatcher.services) {
+    for (uint32_t i = 0; i < it.second.queue.classes.size(); ++i) {
+      tasks += PartnerBacklog(it.second.queue, i, partner).tasks;
+    }
+  }
+  return tasks;
+}
+
+auto OwnDemands(const Dispatcher& dispatcher,
+                const Configuration& configuration) -> std::vector<TeamTasks> {
+  std::vector<TeamTasks> demands;
+  for (const auto& it : configuration.teams) {
+    demands.push_back(TeamTasks{
+        .team = it.name, .tasks = TasksInProgress(dispatcher.quota, it.name)});
+  }
+  for (const auto& partner : configuration.partners) {
+    const auto it = std::find_if(
+        demands.begin(), demands.end(),
+        [&](const TeamTasks& demand) { return demand.team == partner.team; });
+    if (it != demands.end()) {
+      it->tasks +=
+          static_cast<uint32_t>(WaitingTasks(dispatcher, partner.name));
+    }
+  }
+  return demands;
+}
+
+// Stands for an instance that the list names and that was never heard: it can't
+// agree to anything, so nothing is claimed that it may be using.
+auto UnheardMember(const Address& address) -> Incarnation {
+  return Incarnation{std::hash<Address>()(address) | 1U};
+}
+
+auto ToDemands(const std::vector<TeamTasks>& tasks) -> std::vector<Demand> {
+  std::vector<Demand> demands;
+  for (const auto& it : tasks) {
+    if (it.tasks > 0) {
+      demands.push_back(Demand{.name = it.team, .tasks = it.tasks});
+    }
+  }
+  return demands;
+}
+
+auto ToTeamTasks(const std::vector<Demand>& demands) -> std::vector<TeamTasks> {
+  std::vector<TeamTasks> tasks;
+  for (const auto& it : demands) {
+    tasks.push_back(TeamTasks{.team = it.name, .tasks = it.tasks});
+  }
+  return tasks;
+}
+
+}  // namespace
 
 auto ShareQuotas(Step& step) -> void {
   auto& dispatcher = step.dispatcher;
@@ -9,14 +86,76 @@
   if (configuration == nullptr) {
     return;
   }
-  std::vector<TeamTasks> shares;
-  for (const auto& it : configuration->teams) {
-    shares.push_back(TeamTasks{.team = it.name, .tasks = it.quota_tasks});
-  }
-  SetShares(dispatcher.quota, shares);
+  SetShares(dispatcher.quota,
+            AllocateQuota(MakePlan(dispatcher, *configuration),
+                          dispatcher.quota_state, step.now.boot));
   for (const auto& it : configuration->teams) {
     ApplyQuotaHold(step, it.name);
   }
 }
 
+auto UpdateQuotaRoster(Step& step) -> void {
+  auto& dispatcher = step.dispatcher;
+  const auto& membership = dispatcher.membership;
+  Members listed = {dispatcher.self};
+  Members gone;
+  for (const auto& it : membership.peers) {
+    if (it.zone == membership.zone && it.listed) {
+      listed.push_back(it.incarnation.value != 0 ? it.incarnation
+                                                 : UnheardMember(it.address));
+    }
+  }
+  for (const auto& it : membership.replaced) {
+    gone.push_back(it.incarnation);
+  }
+  std::sort(listed.begin(), listed.end());
+  std::sort(gone.begin(), gone.end());
+  UpdateRoster(dispatcher.quota_state.roster, listed, gone, step.now.boot,
+               RosterDelays());
+}
+
+auto MakeQuotaReports(Step& step) -> std::vector<AddressedReport> {
+  auto& dispatcher = step.dispatcher;
+  const auto* configuration = InForce(dispatcher);
+  if (configuration == nullptr) {
+    return {};
+  }
+  dispatcher.quota_state.own_demands = OwnDemands(dispatcher, *configuration);
+  return MakeReports(MakePlan(dispatcher, *configuration), QuotaTimes(),
+                     dispatcher.quota_state, step.now.boot);
+}
+
+auto PutQuotaReport(const std::vector<AddressedReport>& reports,
+                    Incarnation receiver,
+                    Heartbeat& heartbeat) -> void {
+  const auto it = std::find_if(reports.begin(), reports.end(),
+                               [&](const AddressedReport& report) {
+                                 return report.receiver == receiver;
+                               });
+  if (it == reports.end()) {
+    return;
+  }
+  heartbeat.roster_digest = it->report.roster_digest;
+  heartbeat.quota_claims = it->report.claims;
+  heartbeat.team_demands = ToDemands(it->report.demands);
+  heartbeat.quota_leases = ToDemands(it->report.leased);
+}
+
+auto TakeQuotaReport(Step& step,
+                     const PeerInstance& peer,
+                     const Heartbeat& heartbeat) -> void {
+  auto& dispatcher = step.dispatcher;
+  if (peer.zone != dispatcher.settings.zone) {
+    return;
+  }
+  QuotaReport report;
+  report.sender = peer.incarnation;
+  report.roster_digest = heartbeat.roster_digest;
+  report.claims = heartbeat.quota_claims;
+  report.demands = ToTeamTasks(heartbeat.team_demands);
+  report.leased = ToTeamTasks(heartbeat.quota_leases);
+  TakeReport(QuotaTimes(), dispatcher.quota_state, report, peer.echoed_sent,
+             step.now.boot);
+}
+
 }  // namespace boragecroft
--- /dev/null
+++ b/servers/dispatcher/quota_flow.h
@@ -0,0 +1,27 @@
+// Shares the teams' quotas with the instances of the zone, by their heartbeats.
+#ifndef SERVERS_DISPATCHER_QUOTA_FLOW_H_
+#define SERVERS_DISPATCHER_QUOTA_FLOW_H_
+
+#include "servers/dispatcher/state.h"
+
+namespace boragecroft {
+
+// Renews this instance's shares of the quotas; call several times a second.
+auto ShareQuotas(Step& step) -> void;
+
+// What the platform's list says about the instances of the zone.
+auto UpdateQuotaRoster(Step& step) -> void;
+
+// The reports for the zone's instances, one each; notes the leases that they
+// grant.
+auto MakeQuotaReports(Step& step) -> std::vector<AddressedReport>;
+auto PutQuotaReport(const std::vector<AddressedReport>& reports,
+                    Incarnation receiver,
+                    Heartbeat& heartbeat) -> void;
+auto TakeQuotaReport(Step& step,
+                     const PeerInstance& peer,
+                     const Heartbeat& heartbeat) -> void;
+
+}  // namespace boragecroft
+
+#endif  // SERVERS_DISPATCHER_QUOTA_FLOW_H_
--- a/servers/dispatcher/state.h
+++ b/servers/dispatcher/state.h
@@ -27,6 +27,7 @@
 #include "servers/membership/membership.h"
 #include "servers/queue/task_queue.h"
 #include "servers/quota/quota_usage.h"
+#include "servers/quota/team_quota.h"
 #include "servers/retry/retry.h"
 
 namespace boragecroft {
@@ -192,6 +193,7 @@
   Estimates estimates;
   RetryBudget budget;
   QuotaUsage quota;
+  QuotaState quota_state;
 
   LedgerWriter ledger;
   bool ledger_call_open = false;
--- a/servers/dispatcher/task_start.cc
+++ b/servers/dispatcher/task_start.cc
@@ -29,17 +29,12 @@
                   .kind = job.submission->kind};
 }
 
-// A non-repeatable task of a long job is too much to risk on a worker that was
-// put aside.
-auto MayProbe(const Job& job) -> bool {
-  return job.submission->repeatable || job.tasks.size() == 1;
-}
-
 auto Pick(Step& step, const Job& job, const TaskInProgress& progress)
     -> std::optional<size_t> {
   auto& dispatcher = step.dispatcher;
   const auto kind = KindOf(job);
-  auto exclusions = FindExclusions(dispatcher.judge, kind, step.now);
+  const ProbeTask probe{.kind = kind, .repeatable = job.submission->repeatable};
+  auto exclusions = FindExclusions(dispatcher.judge, probe, step.now);
   auto& excluded = exclusions.excluded;
   excluded.insert(excluded.end(), progress.refused_by.begin(),
                   progress.refused_by.end());
@@ -50,14 +45,12 @@
   request.service = kind.service;
   request.needs = job.submission->needs;
   request.excluded = excluded;
-  if (MayProbe(job)) {
-    request.probe_due = exclusions.probe_due;
-  }
+  request.probe_due = exclusions.probe_due;
   const auto policy = InForce(dispatcher)->policy;
   const auto index = PickWorker(dispatcher.fleet, request, policy,
                                 dispatcher.random, step.now);
   if (index && !exclusions.probe_due.empty()) {
-    StartProbe(dispatcher.judge, dispatcher.fleet.workers[*index].id, kind,
+    StartProbe(dispatcher.judge, dispatcher.fleet.workers[*index].id, probe,
                step.now);
   }
   return index;
--- a/servers/membership/membership.cc
+++ b/servers/membership/membership.cc
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr size_t kMaxReplaced = 4096;
+constexpr size_t kMaxUnechoed = 32;
 
 auto FindByAddress(Membership& membership, const Address& address)
     -> PeerInstance* {
@@ -40,6 +41,8 @@
   peer.incarnation = incarnation;
   peer.heard_sequence = 0;
   peer.echoed_sequence = 0;
+  peer.unechoed.clear();
+  peer.echoed_sent = Instant();
   peer.echo_progress = now;
   if (old.value == 0) {
     return std::nullopt;
@@ -52,6 +55,15 @@
   return old;
 }
 
+auto NoteEcho(PeerInstance& peer, uint64_t sequence, Instant now) -> void {
+  peer.echoed_sequence = sequence;
+  peer.echo_progress = now;
+  while (!peer.unechoed.empty() && peer.unechoed.front().sequence <= sequence) {
+    peer.echoed_sent = peer.unechoed.front().sent;
+    peer.unechoed.pop_front();
+  }
+}
+
 // Neither listed nor heard for so long that heartbeats to it are a waste.
 auto IsForgettable(const Membership& membership,
                    const PeerInstance& peer,
@@ -132,8 +144,7 @@
   peer.team_demands = heartbeat.team_demands;
   if (heartbeat.echo_incarnation == membership.self &&
       heartbeat.echo_sequence > peer.echoed_sequence) {
-    peer.echoed_sequence = heartbeat.echo_sequence;
-    peer.echo_progress = now;
+    NoteEcho(peer, heartbeat.echo_sequence, now);
   }
   return replaced;
 }
@@ -151,6 +162,11 @@
     peer.next_heartbeat = now + (local ? settings.zone_heartbeat_interval
                                        : settings.remote_heartbeat_interval);
     ++peer.sent_sequence;
+    peer.unechoed.push_back(
+        SentHeartbeat{.sequence = peer.sent_sequence, .sent = now});
+    if (peer.unechoed.size() > kMaxUnechoed) {
+      peer.unechoed.pop_front();
+    }
     due.push_back(i);
   }
   return due;
--- a/servers/membership/membership.h
+++ b/servers/membership/membership.h
@@ -6,6 +6,7 @@
 #define SERVERS_MEMBERSHIP_MEMBERSHIP_H_
 
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <string>
 #include <vector>
@@ -28,6 +29,12 @@
                                    // good, as far as records go
 };
 
+// When a heartbeat was sent.
+struct SentHeartbeat {
+  uint64_t sequence = 0;
+  Instant sent;
+};
+
 struct PeerInstance {
   std::string name;  // empty until the list or a heartbeat names it
   std::string zone;
@@ -43,6 +50,9 @@
   uint64_t echoed_sequence =
       0;  // the newest of our heartbeats that the peer says it heard
   Instant echo_progress;  // when that last grew
+  std::deque<SentHeartbeat>
+      unechoed;         // the newest that the peer has not confirmed
+  Instant echoed_sent;  // when the newest confirmed one was sent
   uint64_t configuration_version = 0;
   std::vector<Demand> service_demands;
   std::vector<Demand> team_demands;
--- a/tests/core/json/object_reader_test.cc
+++ b/tests/core/json/object_reader_test.cc
@@ -36,6 +36,24 @@
   EXPECT_EQ(ToJsonText(reader.Unknown()), R"({"added_later":[1]})");
 }
 
+TEST(ObjectReaderTest, ALongValueIsCutBetweenCharacters) {
+  std::string letters;
+  for (auto i = 0; i < 100; ++i) {
+    letters += "\u00f1";
+  }
+  const auto document = Read("{\"size\": \"a" + letters + "\"}");
+  std::vector<FieldError> errors;
+  ObjectReader reader(document, "", errors);
+  reader.Whole("size", {.low = 1, .high = 64});
+  ASSERT_EQ(errors.size(), 1U);
+  const auto found = ToJsonText(json::value(errors[0].found));
+  EXPECT_TRUE(ParseJson(found).has_value()) << found;
+}
+
+TEST(JsonTextTest, ABareNumberIsAValue) {
+  EXPECT_EQ(ParseJson("7").value(), json::value(7));
+}
+
 TEST(JsonTextTest, BrokenTextNamesTheReason) {
   EXPECT_FALSE(ParseJson("{\"a\":1").has_value());
   EXPECT_FALSE(ParseJson("{} {}").has_value());
