Let another probe follow one that was refused

A probe that the endpoint refused as busy or draining has no outcome, so the worker stayed aside until the probe's timeout of 60 s. CancelProbe ends it. Ruled out: counting a refusal as a failed probe, since a full worker is no bad one.

--- a/servers/health/judge.cc
+++ b/servers/health/judge.cc
@@ -365,6 +365,12 @@
   return true;
 }
 
+auto CancelProbe(Judge& judge, WorkerId worker, const WorkKind& kind) -> void {
+  if (const auto n = FindAside(judge, worker, kind)) {
+    judge.aside[*n].probing = false;
+  }
+}
+
 auto RecordStraggler(Judge& judge, WorkerId worker, Now now) -> void {
   const auto weight = StragglerWeight(judge, worker, now);
   judge.stragglers.Touch(worker) = {1 / weight, now.boot};
--- a/servers/health/judge.h
+++ b/servers/health/judge.h
@@ -164,6 +164,10 @@
 auto StartProbe(Judge& judge, WorkerId worker, const ProbeTask& task, Now now)
     -> bool;
 
+// Notes that the probe was refused and says nothing about the worker: another
+// may follow at once.
+auto CancelProbe(Judge& judge, WorkerId worker, const WorkKind& kind) -> void;
+
 // Notes a task that runs far longer than its kind does.
 auto RecordStraggler(Judge& judge, WorkerId worker, Now now) -> void;
 // From 1 (no straggler lately) towards 0: multiplies the worker's speed.
--- a/tests/servers/health/judge_test.cc
+++ b/tests/servers/health/judge_test.cc
@@ -158,6 +158,16 @@
   EXPECT_TRUE(IsAside(3));
 }
 
+TEST_F(JudgeTest, AProbeThatIsRefusedMakesRoomForAnother) {
+  Warm();
+  FailUntilAside(3, Outcome::kFailed);
+  now.boot += seconds(1);
+  ASSERT_TRUE(StartProbe(judge, {3}, kLetter, now));
+  CancelProbe(judge, {3}, kLetter.kind);
+  EXPECT_TRUE(IsAside(3));
+  EXPECT_TRUE(StartProbe(judge, {3}, kLetter, now));
+}
+
 TEST_F(JudgeTest, ATaskThatIsNotRepeatableIsAProbeOnlyWhenNoOtherComes) {
   Warm();
   FailUntilAside(3, Outcome::kFailed);
--- a/tests/servers/health/simulated_fleet.cc
+++ b/tests/servers/health/simulated_fleet.cc
@@ -182,6 +182,7 @@
       ++outcome.busy;
       At(now.boot + kRoundTrip / 2, [=, this] {
         OnAnswer(instances[n].fleet, ticket, EndpointAnswer::kBusy, now);
+        CancelProbe(instances[n].judge, ticket.worker, kLetter);
         --instances[n].in_progress;
         instances[n].queue.push_front(task);
         Dispatch(n);
