Tell the zone which workers were put aside

Cause: at the design size each of 16 instances sees too few outcomes of a worker to judge it within 2 s; trials without shared verdicts never managed it in 30 s (docs/design/worker-health.md). Heartbeats now carry the verdicts in force by the worker's name and incarnation; a refused probe frees its place.

--- a/peers/instance/boragecroft.thrift
+++ b/peers/instance/boragecroft.thrift
@@ -53,6 +53,14 @@
   2: i32 tasks
 }
 
+struct WireVerdict {
+  1: string worker
+  2: string incarnation
+  3: string service_name
+  4: string kind
+  5: i64 sequence
+}
+
 struct WireHeartbeat {
   1: string instance
   2: string zone
@@ -67,6 +75,7 @@
   11: i64 roster_digest
   12: bool quota_claims
   13: list<WireDemand> quota_leases
+  14: list<WireVerdict> verdicts
 }
 
 struct WireConfigurationRequest {
--- a/peers/instance/gen/boragecroft_types.cpp
+++ b/peers/instance/gen/boragecroft_types.cpp
@@ -1245,6 +1245,195 @@
 }
 
 
+WireVerdict::~WireVerdict() noexcept {
+}
+
+
+void WireVerdict::__set_worker(const std::string& val) {
+  this->worker = val;
+}
+
+void WireVerdict::__set_incarnation(const std::string& val) {
+  this->incarnation = val;
+}
+
+void WireVerdict::__set_service_name(const std::string& val) {
+  this->service_name = val;
+}
+
+void WireVerdict::__set_kind(const std::string& val) {
+  this->kind = val;
+}
+
+void WireVerdict::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+std::ostream& operator<<(std::ostream& out, const WireVerdict& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WireVerdict::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->worker);
+          this->__isset.worker = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_name);
+          this->__isset.service_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->kind);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t WireVerdict::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WireVerdict");
+
+  xfer += oprot->writeFieldBegin("worker", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->worker);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("service_name", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->service_name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->kind);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WireVerdict &a, WireVerdict &b) {
+  using ::std::swap;
+  swap(a.worker, b.worker);
+  swap(a.incarnation, b.incarnation);
+  swap(a.service_name, b.service_name);
+  swap(a.kind, b.kind);
+  swap(a.sequence, b.sequence);
+  swap(a.__isset, b.__isset);
+}
+
+WireVerdict::WireVerdict(const WireVerdict& other32) {
+  worker = other32.worker;
+  incarnation = other32.incarnation;
+  service_name = other32.service_name;
+  kind = other32.kind;
+  sequence = other32.sequence;
+  __isset = other32.__isset;
+}
+WireVerdict::WireVerdict(WireVerdict&& other33) noexcept {
+  worker = std::move(other33.worker);
+  incarnation = std::move(other33.incarnation);
+  service_name = std::move(other33.service_name);
+  kind = std::move(other33.kind);
+  sequence = other33.sequence;
+  __isset = other33.__isset;
+}
+WireVerdict& WireVerdict::operator=(const WireVerdict& other34) {
+  worker = other34.worker;
+  incarnation = other34.incarnation;
+  service_name = other34.service_name;
+  kind = other34.kind;
+  sequence = other34.sequence;
+  __isset = other34.__isset;
+  return *this;
+}
+WireVerdict& WireVerdict::operator=(WireVerdict&& other35) noexcept {
+  worker = std::move(other35.worker);
+  incarnation = std::move(other35.incarnation);
+  service_name = std::move(other35.service_name);
+  kind = std::move(other35.kind);
+  sequence = other35.sequence;
+  __isset = other35.__isset;
+  return *this;
+}
+void WireVerdict::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WireVerdict(";
+  out << "worker=" << to_string(worker);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "service_name=" << to_string(service_name);
+  out << ", " << "kind=" << to_string(kind);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ")";
+}
+
+
 WireHeartbeat::~WireHeartbeat() noexcept {
 }
 
@@ -1300,6 +1489,10 @@
 void WireHeartbeat::__set_quota_leases(const std::vector<WireDemand> & val) {
   this->quota_leases = val;
 }
+
+void WireHeartbeat::__set_verdicts(const std::vector<WireVerdict> & val) {
+  this->verdicts = val;
+}
 std::ostream& operator<<(std::ostream& out, const WireHeartbeat& obj)
 {
   obj.printTo(out);
@@ -1380,14 +1573,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->service_demands.clear();
-            uint32_t _size32;
-            ::apache::thrift::protocol::TType _etype35;
-            xfer += iprot->readListBegin(_etype35, _size32);
-            this->service_demands.resize(_size32);
-            uint32_t _i36;
-            for (_i36 = 0; _i36 < _size32; ++_i36)
+            uint32_t _size36;
+            ::apache::thrift::protocol::TType _etype39;
+            xfer += iprot->readListBegin(_etype39, _size36);
+            this->service_demands.resize(_size36);
+            uint32_t _i40;
+            for (_i40 = 0; _i40 < _size36; ++_i40)
             {
-              xfer += this->service_demands[_i36].read(iprot);
+              xfer += this->service_demands[_i40].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1400,14 +1593,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->team_demands.clear();
-            uint32_t _size37;
-            ::apache::thrift::protocol::TType _etype40;
-            xfer += iprot->readListBegin(_etype40, _size37);
-            this->team_demands.resize(_size37);
-            uint32_t _i41;
-            for (_i41 = 0; _i41 < _size37; ++_i41)
+            uint32_t _size41;
+            ::apache::thrift::protocol::TType _etype44;
+            xfer += iprot->readListBegin(_etype44, _size41);
+            this->team_demands.resize(_size41);
+            uint32_t _i45;
+            for (_i45 = 0; _i45 < _size41; ++_i45)
             {
-              xfer += this->team_demands[_i41].read(iprot);
+              xfer += this->team_demands[_i45].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1452,14 +1645,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quota_leases.clear();
-            uint32_t _size42;
-            ::apache::thrift::protocol::TType _etype45;
-            xfer += iprot->readListBegin(_etype45, _size42);
-            this->quota_leases.resize(_size42);
-            uint32_t _i46;
-            for (_i46 = 0; _i46 < _size42; ++_i46)
+            uint32_t _size46;
+            ::apache::thrift::protocol::TType _etype49;
+            xfer += iprot->readListBegin(_etype49, _size46);
+            this->quota_leases.resize(_size46);
+            uint32_t _i50;
+            for (_i50 = 0; _i50 < _size46; ++_i50)
             {
-              xfer += this->quota_leases[_i46].read(iprot);
+              xfer += this->quota_leases[_i50].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1468,6 +1661,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->verdicts.clear();
+            uint32_t _size51;
+            ::apache::thrift::protocol::TType _etype54;
+            xfer += iprot->readListBegin(_etype54, _size51);
+            this->verdicts.resize(_size51);
+            uint32_t _i55;
+            for (_i55 = 0; _i55 < _size51; ++_i55)
+            {
+              xfer += this->verdicts[_i55].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.verdicts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1512,10 +1725,10 @@
   xfer += oprot->writeFieldBegin("service_demands", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->service_demands.size()));
-    std::vector<WireDemand> ::const_iterator _iter47;
-    for (_iter47 = this->service_demands.begin(); _iter47 != this->service_demands.end(); ++_iter47)
+    std::vector<WireDemand> ::const_iterator _iter56;
+    for (_iter56 = this->service_demands.begin(); _iter56 != this->service_demands.end(); ++_iter56)
     {
-      xfer += (*_iter47).write(oprot);
+      xfer += (*_iter56).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1524,10 +1737,10 @@
   xfer += oprot->writeFieldBegin("team_demands", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->team_demands.size()));
-    std::vector<WireDemand> ::const_iterator _iter48;
-    for (_iter48 = this->team_demands.begin(); _iter48 != this->team_demands.end(); ++_iter48)
+    std::vector<WireDemand> ::const_iterator _iter57;
+    for (_iter57 = this->team_demands.begin(); _iter57 != this->team_demands.end(); ++_iter57)
     {
-      xfer += (*_iter48).write(oprot);
+      xfer += (*_iter57).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1552,10 +1765,22 @@
   xfer += oprot->writeFieldBegin("quota_leases", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quota_leases.size()));
-    std::vector<WireDemand> ::const_iterator _iter49;
-    for (_iter49 = this->quota_leases.begin(); _iter49 != this->quota_leases.end(); ++_iter49)
+    std::vector<WireDemand> ::const_iterator _iter58;
+    for (_iter58 = this->quota_leases.begin(); _iter58 != this->quota_leases.end(); ++_iter58)
     {
-      xfer += (*_iter49).write(oprot);
+      xfer += (*_iter58).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("verdicts", ::apache::thrift::protocol::T_LIST, 14);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->verdicts.size()));
+    std::vector<WireVerdict> ::const_iterator _iter59;
+    for (_iter59 = this->verdicts.begin(); _iter59 != this->verdicts.end(); ++_iter59)
+    {
+      xfer += (*_iter59).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1581,73 +1806,78 @@
   swap(a.roster_digest, b.roster_digest);
   swap(a.quota_claims, b.quota_claims);
   swap(a.quota_leases, b.quota_leases);
+  swap(a.verdicts, b.verdicts);
   swap(a.__isset, b.__isset);
 }
 
-WireHeartbeat::WireHeartbeat(const WireHeartbeat& other50) {
-  instance = other50.instance;
-  zone = other50.zone;
-  address = other50.address;
-  sequence = other50.sequence;
-  configuration_version = other50.configuration_version;
-  leaving = other50.leaving;
-  service_demands = other50.service_demands;
-  team_demands = other50.team_demands;
-  echo_incarnation = other50.echo_incarnation;
-  echo_sequence = other50.echo_sequence;
-  roster_digest = other50.roster_digest;
-  quota_claims = other50.quota_claims;
-  quota_leases = other50.quota_leases;
-  __isset = other50.__isset;
-}
-WireHeartbeat::WireHeartbeat(WireHeartbeat&& other51) noexcept {
-  instance = std::move(other51.instance);
-  zone = std::move(other51.zone);
-  address = std::move(other51.address);
-  sequence = other51.sequence;
-  configuration_version = other51.configuration_version;
-  leaving = other51.leaving;
-  service_demands = std::move(other51.service_demands);
-  team_demands = std::move(other51.team_demands);
-  echo_incarnation = other51.echo_incarnation;
-  echo_sequence = other51.echo_sequence;
-  roster_digest = other51.roster_digest;
-  quota_claims = other51.quota_claims;
-  quota_leases = std::move(other51.quota_leases);
-  __isset = other51.__isset;
-}
-WireHeartbeat& WireHeartbeat::operator=(const WireHeartbeat& other52) {
-  instance = other52.instance;
-  zone = other52.zone;
-  address = other52.address;
-  sequence = other52.sequence;
-  configuration_version = other52.configuration_version;
-  leaving = other52.leaving;
-  service_demands = other52.service_demands;
-  team_demands = other52.team_demands;
-  echo_incarnation = other52.echo_incarnation;
-  echo_sequence = other52.echo_sequence;
-  roster_digest = other52.roster_digest;
-  quota_claims = other52.quota_claims;
-  quota_leases = other52.quota_leases;
-  __isset = other52.__isset;
+WireHeartbeat::WireHeartbeat(const WireHeartbeat& other60) {
+  instance = other60.instance;
+  zone = other60.zone;
+  address = other60.address;
+  sequence = other60.sequence;
+  configuration_version = other60.configuration_version;
+  leaving = other60.leaving;
+  service_demands = other60.service_demands;
+  team_demands = other60.team_demands;
+  echo_incarnation = other60.echo_incarnation;
+  echo_sequence = other60.echo_sequence;
+  roster_digest = other60.roster_digest;
+  quota_claims = other60.quota_claims;
+  quota_leases = other60.quota_leases;
+  verdicts = other60.verdicts;
+  __isset = other60.__isset;
+}
+WireHeartbeat::WireHeartbeat(WireHeartbeat&& other61) noexcept {
+  instance = std::move(other61.instance);
+  zone = std::move(other61.zone);
+  address = std::move(other61.address);
+  sequence = other61.sequence;
+  configuration_version = other61.configuration_version;
+  leaving = other61.leaving;
+  service_demands = std::move(other61.service_demands);
+  team_demands = std::move(other61.team_demands);
+  echo_incarnation = other61.echo_incarnation;
+  echo_sequence = other61.echo_sequence;
+  roster_digest = other61.roster_digest;
+  quota_claims = other61.quota_claims;
+  quota_leases = std::move(other61.quota_leases);
+  verdicts = std::move(other61.verdicts);
+  __isset = other61.__isset;
+}
+WireHeartbeat& WireHeartbeat::operator=(const WireHeartbeat& other62) {
+  instance = other62.instance;
+  zone = other62.zone;
+  address = other62.address;
+  sequence = other62.sequence;
+  configuration_version = other62.configuration_version;
+  leaving = other62.leaving;
+  service_demands = other62.service_demands;
+  team_demands = other62.team_demands;
+  echo_incarnation = other62.echo_incarnation;
+  echo_sequence = other62.echo_sequence;
+  roster_digest = other62.roster_digest;
+  quota_claims = other62.quota_claims;
+  quota_leases = other62.quota_leases;
+  verdicts = other62.verdicts;
+  __isset = other62.__isset;
   return *this;
 }
-WireHeartbeat& WireHeartbeat::operator=(WireHeartbeat&& other53) noexcept {
-  instance = std::move(other53.instance);
-  zone = std::move(other53.zone);
-  address = std::move(other53.address);
-  sequence = other53.sequence;
-  configuration_version = other53.configuration_version;
-  leaving = other53.leaving;
-  service_demands = std::move(other53.service_demands);
-  team_demands = std::move(other53.team_demands);
-  echo_incarnation = other53.echo_incarnation;
-  echo_sequence = other53.echo_sequence;
-  roster_digest = other53.roster_digest;
-  quota_claims = other53.quota_claims;
-  quota_leases = std::move(other53.quota_leases);
-  __isset = other53.__isset;
+WireHeartbeat& WireHeartbeat::operator=(WireHeartbeat&& other63) noexcept {
+  instance = std::move(other63.instance);
+  zone = std::move(other63.zone);
+  address = std::move(other63.address);
+  sequence = other63.sequence;
+  configuration_version = other63.configuration_version;
+  leaving = other63.leaving;
+  service_demands = std::move(other63.service_demands);
+  team_demands = std::move(other63.team_demands);
+  echo_incarnation = other63.echo_incarnation;
+  echo_sequence = other63.echo_sequence;
+  roster_digest = other63.roster_digest;
+  quota_claims = other63.quota_claims;
+  quota_leases = std::move(other63.quota_leases);
+  verdicts = std::move(other63.verdicts);
+  __isset = other63.__isset;
   return *this;
 }
 void WireHeartbeat::printTo(std::ostream& out) const {
@@ -1666,6 +1896,7 @@
   out << ", " << "roster_digest=" << to_string(roster_digest);
   out << ", " << "quota_claims=" << to_string(quota_claims);
   out << ", " << "quota_leases=" << to_string(quota_leases);
+  out << ", " << "verdicts=" << to_string(verdicts);
   out << ")";
 }
 
@@ -1745,22 +1976,22 @@
   swap(a.__isset, b.__isset);
 }
 
-WireConfigurationRequest::WireConfigurationRequest(const WireConfigurationRequest& other54) noexcept {
-  known_version = other54.known_version;
-  __isset = other54.__isset;
+WireConfigurationRequest::WireConfigurationRequest(const WireConfigurationRequest& other64) noexcept {
+  known_version = other64.known_version;
+  __isset = other64.__isset;
 }
-WireConfigurationRequest::WireConfigurationRequest(WireConfigurationRequest&& other55) noexcept {
-  known_version = other55.known_version;
-  __isset = other55.__isset;
+WireConfigurationRequest::WireConfigurationRequest(WireConfigurationRequest&& other65) noexcept {
+  known_version = other65.known_version;
+  __isset = other65.__isset;
 }
-WireConfigurationRequest& WireConfigurationRequest::operator=(const WireConfigurationRequest& other56) noexcept {
-  known_version = other56.known_version;
-  __isset = other56.__isset;
+WireConfigurationRequest& WireConfigurationRequest::operator=(const WireConfigurationRequest& other66) noexcept {
+  known_version = other66.known_version;
+  __isset = other66.__isset;
   return *this;
 }
-WireConfigurationRequest& WireConfigurationRequest::operator=(WireConfigurationRequest&& other57) noexcept {
-  known_version = other57.known_version;
-  __isset = other57.__isset;
+WireConfigurationRequest& WireConfigurationRequest::operator=(WireConfigurationRequest&& other67) noexcept {
+  known_version = other67.known_version;
+  __isset = other67.__isset;
   return *this;
 }
 void WireConfigurationRequest::printTo(std::ostream& out) const {
@@ -1863,26 +2094,26 @@
   swap(a.__isset, b.__isset);
 }
 
-WireConfiguration::WireConfiguration(const WireConfiguration& other58) {
-  version = other58.version;
-  document = other58.document;
-  __isset = other58.__isset;
+WireConfiguration::WireConfiguration(const WireConfiguration& other68) {
+  version = other68.version;
+  document = other68.document;
+  __isset = other68.__isset;
 }
-WireConfiguration::WireConfiguration(WireConfiguration&& other59) noexcept {
-  version = other59.version;
-  document = std::move(other59.document);
-  __isset = other59.__isset;
+WireConfiguration::WireConfiguration(WireConfiguration&& other69) noexcept {
+  version = other69.version;
+  document = std::move(other69.document);
+  __isset = other69.__isset;
 }
-WireConfiguration& WireConfiguration::operator=(const WireConfiguration& other60) {
-  version = other60.version;
-  document = other60.document;
-  __isset = other60.__isset;
+WireConfiguration& WireConfiguration::operator=(const WireConfiguration& other70) {
+  version = other70.version;
+  document = other70.document;
+  __isset = other70.__isset;
   return *this;
 }
-WireConfiguration& WireConfiguration::operator=(WireConfiguration&& other61) noexcept {
-  version = other61.version;
-  document = std::move(other61.document);
-  __isset = other61.__isset;
+WireConfiguration& WireConfiguration::operator=(WireConfiguration&& other71) noexcept {
+  version = other71.version;
+  document = std::move(other71.document);
+  __isset = other71.__isset;
   return *this;
 }
 void WireConfiguration::printTo(std::ostream& out) const {
@@ -2064,42 +2295,42 @@
   swap(a.__isset, b.__isset);
 }
 
-WireMessage::WireMessage(const WireMessage& other62) {
-  from_incarnation = other62.from_incarnation;
-  heartbeat = other62.heartbeat;
-  relay_request = other62.relay_request;
-  relay_reply = other62.relay_reply;
-  configuration_request = other62.configuration_request;
-  configuration = other62.configuration;
-  __isset = other62.__isset;
-}
-WireMessage::WireMessage(WireMessage&& other63) noexcept {
-  from_incarnation = other63.from_incarnation;
-  heartbeat = std::move(other63.heartbeat);
-  relay_request = std::move(other63.relay_request);
-  relay_reply = std::move(other63.relay_reply);
-  configuration_request = std::move(other63.configuration_request);
-  configuration = std::move(other63.configuration);
-  __isset = other63.__isset;
-}
-WireMessage& WireMessage::operator=(const WireMessage& other64) {
-  from_incarnation = other64.from_incarnation;
-  heartbeat = other64.heartbeat;
-  relay_request = other64.relay_request;
-  relay_reply = other64.relay_reply;
-  configuration_request = other64.configuration_request;
-  configuration = other64.configuration;
-  __isset = other64.__isset;
+WireMessage::WireMessage(const WireMessage& other72) {
+  from_incarnation = other72.from_incarnation;
+  heartbeat = other72.heartbeat;
+  relay_request = other72.relay_request;
+  relay_reply = other72.relay_reply;
+  configuration_request = other72.configuration_request;
+  configuration = other72.configuration;
+  __isset = other72.__isset;
+}
+WireMessage::WireMessage(WireMessage&& other73) noexcept {
+  from_incarnation = other73.from_incarnation;
+  heartbeat = std::move(other73.heartbeat);
+  relay_request = std::move(other73.relay_request);
+  relay_reply = std::move(other73.relay_reply);
+  configuration_request = std::move(other73.configuration_request);
+  configuration = std::move(other73.configuration);
+  __isset = other73.__isset;
+}
+WireMessage& WireMessage::operator=(const WireMessage& other74) {
+  from_incarnation = other74.from_incarnation;
+  heartbeat = other74.heartbeat;
+  relay_request = other74.relay_request;
+  relay_reply = other74.relay_reply;
+  configuration_request = other74.configuration_request;
+  configuration = other74.configuration;
+  __isset = other74.__isset;
   return *this;
 }
-WireMessage& WireMessage::operator=(WireMessage&& other65) noexcept {
-  from_incarnation = other65.from_incarnation;
-  heartbeat = std::move(other65.heartbeat);
-  relay_request = std::move(other65.relay_request);
-  relay_reply = std::move(other65.relay_reply);
-  configuration_request = std::move(other65.configuration_request);
-  configuration = std::move(other65.configuration);
-  __isset = other65.__isset;
+WireMessage& WireMessage::operator=(WireMessage&& other75) noexcept {
+  from_incarnation = other75.from_incarnation;
+  heartbeat = std::move(other75.heartbeat);
+  relay_request = std::move(other75.relay_request);
+  relay_reply = std::move(other75.relay_reply);
+  configuration_request = std::move(other75.configuration_request);
+  configuration = std::move(other75.configuration);
+  __isset = other75.__isset;
   return *this;
 }
 void WireMessage::printTo(std::ostream& out) const {
--- a/peers/instance/gen/boragecroft_types.h
+++ b/peers/instance/gen/boragecroft_types.h
@@ -31,6 +31,8 @@
 
 class WireDemand;
 
+class WireVerdict;
+
 class WireHeartbeat;
 
 class WireConfigurationRequest;
@@ -481,8 +483,81 @@
 
 std::ostream& operator<<(std::ostream& out, const WireDemand& obj);
 
+typedef struct _WireVerdict__isset {
+  _WireVerdict__isset() : worker(false), incarnation(false), service_name(false), kind(false), sequence(false) {}
+  bool worker :1;
+  bool incarnation :1;
+  bool service_name :1;
+  bool kind :1;
+  bool sequence :1;
+} _WireVerdict__isset;
+
+class WireVerdict : public virtual ::apache::thrift::TBase {
+ public:
+
+  WireVerdict(const WireVerdict&);
+  WireVerdict(WireVerdict&&) noexcept;
+  WireVerdict& operator=(const WireVerdict&);
+  WireVerdict& operator=(WireVerdict&&) noexcept;
+  WireVerdict() noexcept
+              : worker(),
+                incarnation(),
+                service_name(),
+                kind(),
+                sequence(0) {
+  }
+
+  virtual ~WireVerdict() noexcept;
+  std::string worker;
+  std::string incarnation;
+  std::string service_name;
+  std::string kind;
+  int64_t sequence;
+
+  _WireVerdict__isset __isset;
+
+  void __set_worker(const std::string& val);
+
+  void __set_incarnation(const std::string& val);
+
+  void __set_service_name(const std::string& val);
+
+  void __set_kind(const std::string& val);
+
+  void __set_sequence(const int64_t val);
+
+  bool operator == (const WireVerdict & rhs) const
+  {
+    if (!(worker == rhs.worker))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(service_name == rhs.service_name))
+      return false;
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    return true;
+  }
+  bool operator != (const WireVerdict &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WireVerdict & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WireVerdict &a, WireVerdict &b);
+
+std::ostream& operator<<(std::ostream& out, const WireVerdict& obj);
+
 typedef struct _WireHeartbeat__isset {
-  _WireHeartbeat__isset() : instance(false), zone(false), address(false), sequence(false), configuration_version(false), leaving(false), service_demands(false), team_demands(false), echo_incarnation(false), echo_sequence(false), roster_digest(false), quota_claims(false), quota_leases(false) {}
+  _WireHeartbeat__isset() : instance(false), zone(false), address(false), sequence(false), configuration_version(false), leaving(false), service_demands(false), team_demands(false), echo_incarnation(false), echo_sequence(false), roster_digest(false), quota_claims(false), quota_leases(false), verdicts(false) {}
   bool instance :1;
   bool zone :1;
   bool address :1;
@@ -496,6 +571,7 @@
   bool roster_digest :1;
   bool quota_claims :1;
   bool quota_leases :1;
+  bool verdicts :1;
 } _WireHeartbeat__isset;
 
 class WireHeartbeat : public virtual ::apache::thrift::TBase {
@@ -532,6 +608,7 @@
   int64_t roster_digest;
   bool quota_claims;
   std::vector<WireDemand>  quota_leases;
+  std::vector<WireVerdict>  verdicts;
 
   _WireHeartbeat__isset __isset;
 
@@ -561,6 +638,8 @@
 
   void __set_quota_leases(const std::vector<WireDemand> & val);
 
+  void __set_verdicts(const std::vector<WireVerdict> & val);
+
   bool operator == (const WireHeartbeat & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -589,6 +668,8 @@
       return false;
     if (!(quota_leases == rhs.quota_leases))
       return false;
+    if (!(verdicts == rhs.verdicts))
+      return false;
     return true;
   }
   bool operator != (const WireHeartbeat &rhs) const {
--- a/peers/instance/instance_codec.cc
+++ b/peers/instance/instance_codec.cc
@@ -128,6 +128,24 @@
   return out;
 }
 
+auto ToWire(const WorkerVerdict& it) -> wire::WireVerdict {
+  wire::WireVerdict out;
+  out.worker = it.worker;
+  out.incarnation = it.incarnation;
+  out.service_name = it.service;
+  out.kind = it.kind;
+  out.sequence = static_cast<int64_t>(it.sequence);
+  return out;
+}
+
+auto FromWire(wire::WireVerdict& in) -> WorkerVerdict {
+  return WorkerVerdict{.worker = std::move(in.worker),
+                       .incarnation = std::move(in.incarnation),
+                       .service = std::move(in.service_name),
+                       .kind = std::move(in.kind),
+                       .sequence = static_cast<uint64_t>(in.sequence)};
+}
+
 auto Put(const Heartbeat& it, wire::WireMessage& message) -> void {
   wire::WireHeartbeat out;
   out.instance = it.instance;
@@ -143,6 +161,9 @@
   out.roster_digest = static_cast<int64_t>(it.roster_digest);
   out.quota_claims = it.quota_claims;
   out.quota_leases = ToWireDemands(it.quota_leases);
+  for (const auto& verdict : it.verdicts) {
+    out.verdicts.push_back(ToWire(verdict));
+  }
   message.__set_heartbeat(std::move(out));
 }
 
@@ -235,6 +256,9 @@
   out.roster_digest = static_cast<uint64_t>(in.roster_digest);
   out.quota_claims = in.quota_claims;
   out.quota_leases = FromWireDemands(in.quota_leases);
+  for (auto& verdict : in.verdicts) {
+    out.verdicts.push_back(FromWire(verdict));
+  }
   return out;
 }
 
--- a/servers/dispatcher/membership_flow.cc
+++ b/servers/dispatcher/membership_flow.cc
@@ -112,6 +112,50 @@
   return heartbeat;
 }
 
+// Workers put aside here, named as every instance knows them.
+auto OwnVerdicts(const Dispatcher& dispatcher) -> std::vector<WorkerVerdict> {
+  std::vector<WorkerVerdict> verdicts;
+  for (const auto& shared : ListSharedVerdicts(dispatcher.judge)) {
+    for (const auto& it : dispatcher.fleet.workers) {
+      if (it.id == shared.subject.worker) {
+        verdicts.push_back(WorkerVerdict{.worker = it.listed.name,
+                                         .incarnation = it.listed.incarnation,
+                                         .service = shared.service,
+                                         .kind = shared.subject.kind,
+                                         .sequence = shared.sequence});
+      }
+    }
+  }
+  return verdicts;
+}
+
+auto TakeVerdict(Step& step,
+                 const std::string& peer,
+                 const WorkerVerdict& verdict) -> void {
+  auto& dispatcher = step.dispatcher;
+  for (const auto& it : dispatcher.fleet.workers) {
+    if (it.listed.name != verdict.worker ||
+        it.listed.incarnation != verdict.incarnation ||
+        it.listed.service != verdict.service) {
+      continue;
+    }
+    SharedVerdict shared;
+    shared.subject = Subject{.worker = it.id, .kind = verdict.kind};
+    shared.service = verdict.service;
+    shared.sequence = verdict.sequence;
+    const auto taken =
+        TakePeerVerdict(dispatcher.judge, peer, shared, step.now);
+    if (taken.kind == VerdictKind::kPutAside) {
+      ++dispatcher.counters.workers_put_aside;
+      Log(LogLevel::kWarning, "worker_put_aside",
+          {{"worker", verdict.worker},
+           {"kind", verdict.kind},
+           {"told_by", peer}});
+    }
+    return;
+  }
+}
+
 auto SendHeartbeats(Step& step) -> void {
   auto& dispatcher = step.dispatcher;
   const auto due = TakeDueHeartbeats(dispatcher.membership, step.now.boot);
@@ -120,12 +164,16 @@
   }
   const auto demands = ServiceDemands(step);
   const auto reports = MakeQuotaReports(step);
+  const auto verdicts = OwnVerdicts(dispatcher);
   for (const auto index : due) {
     const auto& peer = dispatcher.membership.peers[index];
     PeerMessage message;
     message.from = dispatcher.self;
     auto heartbeat = MakeHeartbeat(dispatcher, peer, demands);
     PutQuotaReport(reports, peer.incarnation, heartbeat);
+    if (peer.zone == dispatcher.settings.zone) {
+      heartbeat.verdicts = verdicts;
+    }
     message.body = std::move(heartbeat);
     step.out.peers.emplace_back(
         SendToPeer{.to = peer.address, .message = std::move(message)});
@@ -208,6 +256,9 @@
   if (const auto* peer = FindPeer(dispatcher.membership, from)) {
     NotePeerVersion(step, *peer, heartbeat.configuration_version);
     TakeQuotaReport(step, *peer, heartbeat);
+    for (const auto& it : heartbeat.verdicts) {
+      TakeVerdict(step, ToString(from), it);
+    }
   }
 }
 
--- a/servers/dispatcher/peer_messages.h
+++ b/servers/dispatcher/peer_messages.h
@@ -20,6 +20,16 @@
   uint32_t tasks = 0;
 };
 
+// A worker that the sender put aside for one kind of work, or for all when
+// `kind` is empty.
+struct WorkerVerdict {
+  std::string worker;
+  std::string incarnation;  // of the endpoint, as the platform's list names it
+  std::string service;
+  std::string kind;
+  uint64_t sequence = 0;
+};
+
 struct Heartbeat {
   std::string instance;
   std::string zone;
@@ -34,6 +44,7 @@
   uint64_t roster_digest = 0;
   bool quota_claims = false;
   std::vector<Demand> quota_leases;
+  std::vector<WorkerVerdict> verdicts;
   // The last heartbeat that the sender heard from the receiver: shows the
   // receiver whether its own arrive.
   Incarnation echo_incarnation;
--- a/servers/dispatcher/task_settlement.cc
+++ b/servers/dispatcher/task_settlement.cc
@@ -106,6 +106,11 @@
            ExchangeEnd end) -> void {
   auto& dispatcher = step.dispatcher;
   const auto outcome = ToOutcome(end);
+  if (CertainlyNotStarted(end)) {
+    CancelProbe(dispatcher.judge, attempt.ticket.worker,
+                WorkKind{.service = job.submission->service,
+                         .kind = job.submission->kind});
+  }
   if (!outcome || (attempt.stop_asked && end == ExchangeEnd::kFailed)) {
     return;
   }
