--- a/servers/dispatcher/configuration_flow.cc
+++ b/servers/dispatcher/configuration_flow.cc
@@ -151,6 +151,23 @@
   return body;
 }
 
+auto ReplyInvalid(Step& step,
+                  uint64_t number,
+                  const std::vector<FieldError>& errors) -> void {
+  json::array fields;
+  for (const auto& it : errors) {
+    fields.push_back(
+        {{"field", it.field}, {"found", it.found}, {"allowed", it.allowed}});
+  }
+  auto body = ErrorBody("invalid");
+  body["error"].as_object()["fields"] = std::move(fields);
+  OperatorReply reply;
+  reply.number = number;
+  reply.status = 422;
+  reply.body = std::move(body);
+  step.out.operators.push_back(std::move(reply));
+}
+
 auto ReplyApplied(Step& step, const OpenApply& apply) -> void {
   OperatorReply reply;
   reply.number = apply.number;
@@ -173,6 +190,9 @@
       reply.status = 503;
       reply.body = ErrorBody("undecided");
       break;
+    case ApplyOutcome::kInvalid:
+      ReplyInvalid(step, apply.number, apply.attempt.errors);
+      return;
   }
   step.out.operators.push_back(std::move(reply));
 }
@@ -250,23 +270,6 @@
   }
 }
 
-auto ReplyInvalid(Step& step,
-                  uint64_t number,
-                  const std::vector<FieldError>& errors) -> void {
-  json::array fields;
-  for (const auto& it : errors) {
-    fields.push_back(
-        {{"field", it.field}, {"found", it.found}, {"allowed", it.allowed}});
-  }
-  auto body = ErrorBody("invalid");
-  body["error"].as_object()["fields"] = std::move(fields);
-  OperatorReply reply;
-  reply.number = number;
-  reply.status = 422;
-  reply.body = std::move(body);
-  step.out.operators.push_back(std::move(reply));
-}
-
 }  // namespace
 
 auto TendConfiguration(Step& step) -> void {
