Prove with real processes that lost owners and copies start nothing twice

process_tests runs lab::Cluster with real daemons: ten copies of a job at once through all zones, while its owner is paused and after it was killed; owners killed before, during and after dispatch and replaced at the same address. Each answer is held against what the endpoints counted, and all survivors have to say the same. Ruled out: asserting on durations; every wait is for an outcome and bounded.

--- a/tests/lab/cluster.cc
+++ b/tests/lab/cluster.cc
@@ -68,6 +68,22 @@
   return out.str();
 }
 
+auto Contains(const std::vector<std::string>& names, const std::string& name)
+    -> bool {
+  return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+// Whether an instance was allotted slots of any worker.
+auto HasShare(const JsonReply& reply) -> bool {
+  if (reply.status != 200) {
+    return false;
+  }
+  const auto& workers = reply.body.at("workers").as_array();
+  return std::any_of(workers.begin(), workers.end(), [](const auto& it) {
+    return it.at("allotted_slots").template to_number<int64_t>() > 0;
+  });
+}
+
 auto BaseTask(const std::string& attempt) -> std::string {
   return attempt.substr(0, attempt.find('#'));
 }
@@ -97,7 +113,7 @@
     throw std::runtime_error("the declarations were not applied");
   }
   for (size_t i = 0; i < instances_.size(); ++i) {
-    if (!WaitUntilReady(i)) {
+    if (!WaitUntilReady(i) || !WaitForWorkers(i)) {
       throw std::runtime_error("not ready: " + instances_[i].name);
     }
   }
@@ -137,7 +153,7 @@
   auto& instance = instances_.at(index);
   instance.process->Kill();
   StartInstance(instance);
-  if (wait_until_ready && !WaitUntilReady(index)) {
+  if (wait_until_ready && !(WaitUntilReady(index) && WaitForWorkers(index))) {
     throw std::runtime_error("not ready again: " + instance.name);
   }
 }
@@ -154,14 +170,29 @@
   return false;
 }
 
-auto Cluster::PublishList(const std::vector<std::string>& leaving) -> void {
+auto Cluster::WaitForWorkers(size_t index, milliseconds timeout) -> bool {
+  const auto end = BootClock::now() + timeout;
+  while (BootClock::now() < end) {
+    const auto reply =
+        Get(instances_.at(index).operators, "/v1/instances", seconds(1));
+    if (HasShare(reply)) {
+      return true;
+    }
+    std::this_thread::sleep_for(kPoll);
+  }
+  return false;
+}
+
+auto Cluster::PublishList(const std::vector<std::string>& leaving,
+                          const std::vector<std::string>& absent) -> void {
   const auto state = [&](const std::string& name) {
-    return std::find(leaving.begin(), leaving.end(), name) == leaving.end()
-               ? "live"
-               : "leaving";
+    return Contains(leaving, name) ? "leaving" : "live";
   };
   boost::json::array list;
   for (const auto& it : instances_) {
+    if (Contains(absent, it.name)) {
+      continue;
+    }
     list.push_back({{"kind", "entry"},
                     {"name", it.name},
                     {"zone", it.zone},
--- a/tests/lab/cluster.h
+++ b/tests/lab/cluster.h
@@ -56,7 +56,8 @@
 class Cluster {
  public:
   // Starts everything, applies the declarations and waits until each instance
-  // is ready. Throws std::runtime_error when something does not start.
+  // is ready and has workers. Throws std::runtime_error when something does not
+  // start.
   explicit Cluster(ClusterOptions options);
   ~Cluster();
   Cluster(const Cluster&) = delete;
@@ -75,9 +76,12 @@
   // it is ready, unless told otherwise.
   auto Restart(size_t index, bool wait_until_ready = true) -> void;
   auto WaitUntilReady(size_t index, milliseconds timeout = seconds(15)) -> bool;
+  // Waits until an instance has a share of the workers of its zone.
+  auto WaitForWorkers(size_t index, milliseconds timeout = seconds(15)) -> bool;
   // Publishes the platform's list anew; instances and workers named in
-  // `leaving` are marked so.
-  auto PublishList(const std::vector<std::string>& leaving = {}) -> void;
+  // `leaving` are marked so, those named in `absent` are not in it.
+  auto PublishList(const std::vector<std::string>& leaving = {},
+                   const std::vector<std::string>& absent = {}) -> void;
   // Applies a declarations file by boragecroftctl through an instance; the exit
   // code.
   auto Apply(const std::string& file, size_t index = 0) -> int;
--- /dev/null
+++ b/tests/process/owner_lost_test.cc
@@ -0,0 +1,63 @@
+// A job whose owner dies is answered as failed, never in part, and the same by
+// all.
+#include "tests/process/story.h"
+
+namespace boragecroft::lab {
+namespace {
+
+class AnOwnerThatIsKilled : public Story {
+ protected:
+  auto KillOwner() -> void {
+    cluster.Instances()[0].process->Kill();
+    cluster.PublishList({}, {cluster.Instances()[0].name});
+  }
+};
+
+TEST_F(AnOwnerThatIsKilled, BeforeASubmissionLeavesItUnstarted) {
+  const auto job = NewJob(0, 5, 20);
+  KillOwner();
+  Submit(Callers(1), job, seconds(1));
+  const auto answer = ExpectOneAnswer(cluster, {1, 2}, job.id, job.partner);
+  EXPECT_NE(answer.Text("state"), "done");
+  const auto counts = cluster.CountStarts();
+  ExpectTrue(answer, counts, job);
+  EXPECT_EQ(counts.total, 0);
+}
+
+TEST_F(AnOwnerThatIsKilled, DuringDispatchLeavesNotRunTasksUnstarted) {
+  const auto job = NewJob(0, 400, 100);
+  Submit(Callers(0), job);
+  ASSERT_TRUE(Eventually(seconds(5), [&] {
+    return StartsOf(cluster.CountStarts(), job.id).tasks > 40;
+  }));
+  KillOwner();
+  const auto answer = ExpectOneAnswer(cluster, {1, 2}, job.id, job.partner);
+  EXPECT_EQ(answer.Text("state"), "failed");
+  EXPECT_GT(CountTasks(answer, "not_run"), 0);
+  ExpectTrue(answer, cluster.CountStarts(), job);
+}
+
+TEST_F(AnOwnerThatIsKilled, AfterTheAnswerLeavesTheSameAnswer) {
+  const auto job = NewJob(0, 20, 20);
+  const auto told = Submit(Callers(0), job, seconds(5));
+  ASSERT_EQ(told.Text("state"), "done");
+  KillOwner();
+  const auto answer = ExpectOneAnswer(cluster, {1, 2}, job.id, job.partner);
+  ExpectTrue(answer, cluster.CountStarts(), job);
+  EXPECT_EQ(answer.Text("state"), "done") << answer.Text("reason");
+}
+
+TEST_F(AnOwnerThatIsKilled, AndReplacedAnswersForItsPredecessor) {
+  const auto job = NewJob(0, 200, 100);
+  Submit(Callers(0), job);
+  ASSERT_TRUE(Eventually(seconds(5), [&] {
+    return StartsOf(cluster.CountStarts(), job.id).tasks > 0;
+  }));
+  cluster.Restart(0);
+  const auto answer = ExpectOneAnswer(cluster, {0, 1, 2}, job.id, job.partner);
+  EXPECT_EQ(answer.Text("state"), "failed");
+  ExpectTrue(answer, cluster.CountStarts(), job);
+}
+
+}  // namespace
+}  // namespace boragecroft::lab
--- /dev/null
+++ b/tests/process/resubmission_test.cc
@@ -0,0 +1,77 @@
+// No task of a submission starts twice, however often and wherever it is
+// submitted.
+#include <signal.h>
+
+#include <future>
+
+#include "tests/process/story.h"
+
+namespace boragecroft::lab {
+namespace {
+
+constexpr int kCopies = 10;
+constexpr milliseconds kWait{3000};
+
+class AJobSubmittedTenTimesAtOnce : public Story {
+ protected:
+  // Ten copies at once, spread over `instances`.
+  auto SubmitCopies(const JobSpec& job, const std::vector<size_t>& instances)
+      -> std::vector<JsonReply> {
+    std::vector<std::future<JsonReply>> calls;
+    for (auto i = 0; i < kCopies; ++i) {
+      const auto server =
+          Callers(instances[static_cast<size_t>(i) % instances.size()]);
+      calls.push_back(std::async(std::launch::async, [server, job] {
+        return Submit(server, job, kWait);
+      }));
+    }
+    std::vector<JsonReply> replies;
+    replies.reserve(calls.size());
+    for (auto& it : calls) {
+      replies.push_back(it.get());
+    }
+    return replies;
+  }
+};
+
+TEST_F(AJobSubmittedTenTimesAtOnce, ThroughAllZonesStartsEachTaskOnce) {
+  const auto job = NewJob(0, 40, 50);
+  SubmitCopies(job, {0, 1, 2});
+  const auto answer = ExpectOneAnswer(cluster, {0, 1, 2}, job.id, job.partner);
+  EXPECT_EQ(answer.Text("state"), "done");
+  const auto counts = cluster.CountStarts();
+  ExpectTrue(answer, counts, job);
+  EXPECT_EQ(StartsOf(counts, job.id).tasks, 40);
+}
+
+TEST_F(AJobSubmittedTenTimesAtOnce, WhileItsOwnerIsPausedIsNeverRunByOthers) {
+  const auto job = NewJob(0, 60, 100);
+  ASSERT_EQ(Submit(Callers(0), job).status, 202);
+  cluster.Instances()[0].process->Signal(SIGSTOP);
+  for (const auto& it : SubmitCopies(job, {1, 2})) {
+    EXPECT_NE(it.Text("state"), "refused") << it.Text("reason");
+  }
+  cluster.Instances()[0].process->Signal(SIGCONT);
+  const auto answer = ExpectOneAnswer(cluster, {0, 1, 2}, job.id, job.partner);
+  ExpectTrue(answer, cluster.CountStarts(), job);
+}
+
+TEST_F(AJobSubmittedTenTimesAtOnce, AfterItsOwnerWasKilledStartsNothingMore) {
+  const auto job = NewJob(0, 60, 100);
+  Submit(Callers(0), job);
+  ASSERT_TRUE(Eventually(seconds(5), [&] {
+    return StartsOf(cluster.CountStarts(), job.id).tasks > 0;
+  }));
+  cluster.Instances()[0].process->Kill();
+  cluster.PublishList({}, {cluster.Instances()[0].name});
+  const auto started = StartsOf(cluster.CountStarts(), job.id).tasks;
+  SubmitCopies(job, {1, 2});
+  const auto answer = ExpectOneAnswer(cluster, {1, 2}, job.id, job.partner);
+  EXPECT_EQ(answer.Text("state"), "failed");
+  const auto counts = cluster.CountStarts();
+  ExpectTrue(answer, counts, job);
+  EXPECT_EQ(StartsOf(counts, job.id).tasks, started);
+}
+
+}  // namespace
+}  // namespace boragecroft::lab
--- /dev/null
+++ b/tests/process/story.cc
@@ -0,0 +1,87 @@
+#include "tests/process/story.h"
+
+#include <algorithm>
+
+namespace boragecroft::lab {
+namespace {
+
+constexpr milliseconds kFinalTimeout{25000};
+
+}  // namespace
+
+auto StoryOptions() -> ClusterOptions {
+  ClusterOptions options;
+  options.extra_settings =
+      "\"heartbeat_interval_ms\": 200, \"dead_after_ms\": 3000, "
+      "\"pause_threshold_ms\": 500, \"list_poll_interval_ms\": 200, "
+      "\"configuration_poll_interval_ms\": 200, \"platform_timeout_ms\": 500, "
+      "\"balancer_grace_ms\": 300, \"drain_timeout_ms\": 10000";
+  return options;
+}
+
+auto StartsOf(const StartCounts& counts, const std::string& id) -> StartsOfJob {
+  StartsOfJob out;
+  const auto prefix = id + "/";
+  for (auto it = counts.starts.lower_bound(prefix);
+       it != counts.starts.end() && it->first.starts_with(prefix); ++it) {
+    ++out.tasks;
+    out.most = std::max(out.most, it->second);
+  }
+  return out;
+}
+
+auto TaskName(const std::string& id, int index) -> std::string {
+  return id + "/" + std::to_string(index);
+}
+
+auto ExpectOneAnswer(Cluster& cluster,
+                     const std::vector<size_t>& instances,
+                     const std::string& id,
+                     const std::string& partner) -> JsonReply {
+  JsonReply first;
+  for (const auto it : instances) {
+    const auto reply = AwaitFinal(cluster.Instances().at(it).callers, id,
+                                  partner, kFinalTimeout);
+    EXPECT_TRUE(IsFinal(reply))
+        << cluster.Instances().at(it).name << " says " << reply.status << " "
+        << reply.Text("state") << " " << reply.Text("reason");
+    if (it == instances.front()) {
+      first = reply;
+      continue;
+    }
+    EXPECT_EQ(first.Text("state"), reply.Text("state"));
+    for (const auto* state : {"done", "failed", "not_run", "may_have_run"}) {
+      EXPECT_EQ(CountTasks(first, state), CountTasks(reply, state)) << state;
+    }
+  }
+  return first;
+}
+
+auto ExpectTrue(const JsonReply& answer,
+                const StartCounts& counts,
+                const JobSpec& job) -> void {
+  EXPECT_TRUE(IsWhole(answer, job.tasks));
+  EXPECT_LE(StartsOf(counts, job.id).most, 1);
+  for (auto i = 0; i < job.tasks; ++i) {
+    const auto started = counts.starts.contains(TaskName(job.id, i));
+    const auto state = TaskStateOf(answer, static_cast<size_t>(i));
+    if (answer.Text("state") == "refused" || state == "not_run") {
+      EXPECT_FALSE(started) << TaskName(job.id, i);
+    }
+    if (answer.Text("state") == "done" || state == "done") {
+      EXPECT_TRUE(started) << TaskName(job.id, i);
+    }
+  }
+}
+
+auto Story::NewJob(size_t owner, int tasks, int run_ms) -> JobSpec {
+  JobSpec job;
+  const auto ids = MintIds(Callers(owner), job.partner, 1);
+  EXPECT_EQ(ids.size(), 1U);
+  job.id = ids.empty() ? std::string() : ids.front();
+  job.tasks = tasks;
+  job.run_ms = run_ms;
+  return job;
+}
+
+}  // namespace boragecroft::lab
