Start recorded jobs once the platform is found to be away

A job of a class with record_before_start waits for its first ledger entry to be durable. When the platform went away between the acceptance and the moment it counts as suspect, the entry never became durable and the job waited until its deadline, while jobs accepted later went straight on: accepted work stood still. Now the jobs of that gap start once the platform is suspect, but only below the watermark of that first entry. After a death the entry is either there, and covers every task that started, or is not there, and every task may have run: no answer says 'not run' of a started task. Ruled out: raising a later watermark as well, which would make a durable one false.

--- a/servers/dispatcher/dispatcher.cc
+++ b/servers/dispatcher/dispatcher.cc
@@ -136,6 +136,7 @@
     ExpireJobs(step);
     ExpireRelays(step);
     ForgetRefusals(step);
+    ReleaseUnrecordedJobs(step);
     TendAttempts(step);
     TendDrain(step);
     DropSettled(dispatcher.mint, RecordedThrough(dispatcher.ledger, step.now),
--- a/servers/dispatcher/record_flow.cc
+++ b/servers/dispatcher/record_flow.cc
@@ -165,6 +165,24 @@
   Add(step.dispatcher.ledger, std::move(entry), Urgency::kNormal, step.now);
 }
 
+auto ReleaseUnrecordedJobs(Step& step) -> void {
+  auto& dispatcher = step.dispatcher;
+  const auto suspect = IsPlatformSuspect(dispatcher.ledger, step.now);
+  if (suspect == std::exchange(dispatcher.platform_suspect, suspect) ||
+      !suspect) {
+    return;
+  }
+  for (const auto& it : dispatcher.deadlines) {
+    const auto& job = dispatcher.jobs.at(it.second);
+    const auto first_window =
+        std::min(static_cast<uint32_t>(job.tasks.size()), kWatermarkWindow);
+    if (job.record_mode == RecordMode::kWatermark &&
+        job.watermark_asked == first_window) {
+      RaiseDispatchLimit(step, it.second, first_window);
+    }
+  }
+}
+
 auto PumpLedger(Step& step) -> void {
   auto& dispatcher = step.dispatcher;
   ReadBack(step);
--- a/servers/dispatcher/record_flow.h
+++ b/servers/dispatcher/record_flow.h
@@ -22,6 +22,11 @@
                    const JobId& id,
                    Refusal refusal) -> void;
 
+// Once the platform is suspect, lets jobs start whose first entry may not be
+// durable, as far as that entry says. After a death the entry either is there
+// and covers them, or is not there and any task may have run.
+auto ReleaseUnrecordedJobs(Step& step) -> void;
+
 // Sends what is due to the table.
 auto PumpLedger(Step& step) -> void;
 
--- a/servers/dispatcher/state.h
+++ b/servers/dispatcher/state.h
@@ -195,6 +195,7 @@
 
   LedgerWriter ledger;
   bool ledger_call_open = false;
+  bool platform_suspect = false;  // as of the last tick
   std::set<std::string> read_backs;  // rows that are being read for the ledger
   std::vector<TableRow> read_back_rows;
 
