Run whole dispatchers on a virtual clock under drawn faults

Three instances, a table that loses or delays answers, and endpoints that count starts per task, all on one virtual clock; each reply is checked as it is given and the records against the endpoints' counts at the end.

--- /dev/null
+++ b/tests/servers/dispatcher/virtual_endpoint.cc
@@ -0,0 +1,69 @@
+#include "tests/servers/dispatcher/virtual_endpoint.h"
+
+#include <algorithm>
+
+namespace boragecroft {
+
+auto Settle(VirtualEndpoint& endpoint, Instant now) -> void {
+  for (auto& [id, run] : endpoint.runs) {
+    if (run.end != ExchangeEnd::kRunning) {
+      continue;
+    }
+    if (run.lease_until < std::min(now, run.ends)) {
+      run.end = ExchangeEnd::kFailed;
+      run.text = "lease lapsed";
+    } else if (run.ends <= now) {
+      run.end = ExchangeEnd::kDone;
+    }
+  }
+}
+
+auto ArriveStart(VirtualEndpoint& endpoint,
+                 const StartAttempt& start,
+                 milliseconds run_time,
+                 Instant now) -> ExchangeEnd {
+  Settle(endpoint, now);
+  if (const auto it = endpoint.runs.find(start.id); it != endpoint.runs.end()) {
+    return it->second.end;
+  }
+  if (endpoint.draining) {
+    return ExchangeEnd::kDraining;
+  }
+  const auto busy = std::count_if(
+      endpoint.runs.begin(), endpoint.runs.end(),
+      [](const auto& it) { return it.second.end == ExchangeEnd::kRunning; });
+  if (busy >= endpoint.slots) {
+    return ExchangeEnd::kBusy;
+  }
+  ++endpoint.starts[start.id.task];
+  endpoint.runs[start.id] = EndpointRun{.ends = now + run_time,
+                                        .lease_until = now + start.lease,
+                                        .text = start.payload};
+  return ExchangeEnd::kRunning;
+}
+
+auto ArriveQuery(VirtualEndpoint& endpoint,
+                 const QueryAttempt& query,
+                 Instant now) -> AttemptOutcome {
+  Settle(endpoint, now);
+  AttemptOutcome outcome{.id = query.id, .from_query = true};
+  const auto found = endpoint.runs.find(query.id);
+  if (found == endpoint.runs.end()) {
+    outcome.end =
+        query.stop ? ExchangeEnd::kNotStarted : ExchangeEnd::kNotHeardOf;
+    if (query.stop) {
+      endpoint.runs[query.id].end = ExchangeEnd::kNotStarted;
+    }
+    return outcome;
+  }
+  auto& run = found->second;
+  if (query.stop && run.end == ExchangeEnd::kRunning) {
+    run.end = ExchangeEnd::kFailed;
+    run.text = "stopped";
+  }
+  outcome.end = run.end;
+  outcome.text = run.text;
+  return outcome;
+}
+
+}  // namespace boragecroft
--- /dev/null
+++ b/tests/servers/dispatcher/virtual_endpoint.h
@@ -0,0 +1,40 @@
+// An endpoint in memory that counts how often each task started.
+#ifndef TESTS_SERVERS_DISPATCHER_VIRTUAL_ENDPOINT_H_
+#define TESTS_SERVERS_DISPATCHER_VIRTUAL_ENDPOINT_H_
+
+#include <map>
+#include <string>
+
+#include "peers/endpoint/endpoint_messages.h"
+
+namespace boragecroft {
+
+struct EndpointRun {
+  Instant ends;
+  Instant lease_until;
+  ExchangeEnd end = ExchangeEnd::kRunning;  // kNotStarted: a tombstone
+  std::string text;
+};
+
+struct VirtualEndpoint {
+  uint32_t slots = 2;
+  bool draining = false;
+  std::map<AttemptId, EndpointRun> runs;
+  std::map<TaskId, uint32_t> starts;
+};
+
+// Settles what ended by `now`.
+auto Settle(VirtualEndpoint& endpoint, Instant now) -> void;
+// A start arrives. kRunning: it started and is answered when it ends.
+auto ArriveStart(VirtualEndpoint& endpoint,
+                 const StartAttempt& start,
+                 milliseconds run_time,
+                 Instant now) -> ExchangeEnd;
+// A status query or a stop arrives.
+auto ArriveQuery(VirtualEndpoint& endpoint,
+                 const QueryAttempt& query,
+                 Instant now) -> AttemptOutcome;
+
+}  // namespace boragecroft
+
+#endif  // TESTS_SERVERS_DISPATCHER_VIRTUAL_ENDPOINT_H_
--- /dev/null
+++ b/tests/servers/dispatcher/virtual_fleet.h
@@ -0,0 +1,109 @@
+// Several dispatchers, a platform and endpoints on one virtual clock. Faults
+// are drawn from one seed; what callers are told is checked as it is said.
+#ifndef TESTS_SERVERS_DISPATCHER_VIRTUAL_FLEET_H_
+#define TESTS_SERVERS_DISPATCHER_VIRTUAL_FLEET_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "servers/dispatcher/dispatcher.h"
+#include "servers/dispatcher/submitting.h"
+#include "tests/servers/dispatcher/virtual_endpoint.h"
+#include "tests/servers/ledger/fake_table.h"
+
+namespace boragecroft {
+
+struct VirtualNode {
+  DispatcherSettings settings;
+  std::unique_ptr<Dispatcher> dispatcher;  // null: dead
+  bool paused = false;
+  int64_t highest_version = 0;
+};
+
+// Shares of messages that fail, in percent.
+struct FaultRates {
+  uint32_t peer_lost = 0;
+  uint32_t peer_repeated = 0;
+  uint32_t peer_late = 0;
+  uint32_t table_answer_lost = 0;
+  uint32_t table_late = 0;
+  uint32_t table_lost = 0;
+  uint32_t stale_read = 0;      // of the configuration's row
+  uint32_t start_lost = 0;      // silent connection, the start never arrives
+  uint32_t start_late = 0;      // silent connection, the start arrives later
+  uint32_t answer_lost = 0;     // it starts, the answer never arrives
+  uint32_t answer_garbled = 0;  // garbled, or that of another task
+  uint32_t query_lost = 0;
+};
+
+// What one caller asked, and what it was told.
+struct Asked {
+  JobId id;
+  size_t node = 0;
+  bool submits = false;
+  bool with_key = false;
+  std::vector<CallerReplyBody> replies;
+};
+
+struct VirtualFleet {
+  Now now{.boot = Instant(seconds(1000)),
+          .wall = WallTime(seconds(1800000000))};
+  Random random{1};
+  FaultRates rates;
+  milliseconds run_time{100};
+  FakeTable table;
+  std::vector<TableRow> old_configurations;
+  bool platform_down = false;
+  std::vector<VirtualNode> nodes;
+  std::set<std::pair<size_t, size_t>> cuts;
+  std::map<Address, VirtualEndpoint> endpoints;
+  std::set<Address> leaving;  // by the list
+  std::map<Address, Instant> known_leaving;
+  std::multimap<Instant, std::function<void()>> agenda;
+  std::map<JobId, std::shared_ptr<const Submission>> submissions;
+  std::map<uint64_t, Asked> asked;
+  std::map<JobId, std::set<JobState>> told;  // by recorded answers
+  std::map<JobId, std::set<JobState>> told_unrecorded;
+  std::map<TaskId, std::string> called_not_run;
+  std::set<Incarnation> unsafe;  // died, or were deposed: unrecorded answers of
+                                 // theirs need not hold
+  std::vector<std::string> violations;
+  uint64_t next_number = 1;
+  uint64_t next_incarnation = 0x1000;
+};
+
+auto MakeFleet(size_t nodes, uint64_t seed) -> std::unique_ptr<VirtualFleet>;
+auto Boot(VirtualFleet& fleet, size_t node) -> void;
+auto Kill(VirtualFleet& fleet, size_t node) -> void;
+auto Drain(VirtualFleet& fleet, size_t node) -> void;
+auto Elapse(VirtualFleet& fleet, milliseconds time) -> void;
+// Ends all faults and runs on until everything can be settled.
+auto Heal(VirtualFleet& fleet) -> void;
+auto WriteConfiguration(VirtualFleet& fleet) -> void;
+
+// Fetches an id from a node; empty when it gives none.
+auto FetchId(VirtualFleet& fleet, size_t node) -> std::optional<JobId>;
+auto MakeJob(const JobId& id,
+             uint32_t tasks,
+             const std::string& urgency_class = "confirmations",
+             bool repeatable = false) -> std::shared_ptr<Submission>;
+// Returns the number under which the replies are kept.
+auto Ask(VirtualFleet& fleet, size_t node, CallerCall call) -> uint64_t;
+auto Submit(VirtualFleet& fleet,
+            size_t node,
+            std::shared_ptr<const Submission> submission) -> uint64_t;
+auto Fetch(VirtualFleet& fleet, size_t node, const JobId& id) -> uint64_t;
+// The state that the last reply tells; kActive when there is none or it is
+// undecided.
+auto StateTold(const VirtualFleet& fleet, uint64_t number) -> JobState;
+auto Starts(const VirtualFleet& fleet, const TaskId& task) -> uint32_t;
+// Checks what must hold when all is over; returns all violations.
+auto CheckAll(VirtualFleet& fleet) -> std::string;
+
+}  // namespace boragecroft
+
+#endif  // TESTS_SERVERS_DISPATCHER_VIRTUAL_FLEET_H_
