Name the incarnation in the record of a refusal

Cause: RecordRefusal left RefusedEntry::incarnation zero, so no reader of the ledger ever matched the entry with its id: after the owner's death a refused submission was answered as failed, 'owner_lost_unrecorded'. First failed: ThreeInstances.ARefusalHoldsAfterTheOwnersDeath.

--- a/servers/dispatcher/record_flow.cc
+++ b/servers/dispatcher/record_flow.cc
@@ -158,6 +158,7 @@
                    const JobId& id,
                    Refusal refusal) -> void {
   RefusedEntry entry;
+  entry.incarnation = id.incarnation;
   entry.partner = partner;
   entry.reason = refusal;
   entry.ranges.push_back(
