Start no job again that the stopped instance had run

Cause: once an instance had taken one unused id of a stopped incarnation, it answered for all ids of that incarnation from its own books alone, so a job that the stopped instance had run counted as never used and was started a second time (2 tasks, 4 starts). Only ids that were taken here are now served from memory; for each other id the stopped instance's ledger is read first. Ruled out: keeping the stopped ledger's used ranges in memory, which needs the whole ledger read at the handover. The price is one lookup for each unused id.

--- a/servers/dispatcher/owner_routing.cc
+++ b/servers/dispatcher/owner_routing.cc
@@ -18,6 +18,12 @@
 
 }  // namespace
 
+auto IsTakenOver(const Dispatcher& dispatcher, const JobId& id) -> bool {
+  const auto found = dispatcher.adopted.find(id.incarnation);
+  return found != dispatcher.adopted.end() &&
+         Contains(found->second, id.sequence);
+}
+
 auto RelayTo(Step& step, const PeerInstance& owner, CallerRequest request)
     -> void {
   auto& dispatcher = step.dispatcher;
@@ -39,7 +45,7 @@
 auto RouteRequest(Step& step, CallerRequest request) -> void {
   auto& dispatcher = step.dispatcher;
   const auto owner = IdOf(request.call).incarnation;
-  if (owner == dispatcher.self || dispatcher.adopted.contains(owner)) {
+  if (owner == dispatcher.self || IsTakenOver(dispatcher, IdOf(request.call))) {
     ServeOwnRequest(step, request);
     return;
   }
--- a/servers/dispatcher/owner_routing.h
+++ b/servers/dispatcher/owner_routing.h
@@ -11,7 +11,12 @@
 // Serves, relays or looks up a request about an id.
 auto RouteRequest(Step& step, CallerRequest request) -> void;
 
-// Answers a request from the records of the id's incarnation.
+// True when this instance took the submission under an id that another one
+// minted before it stopped. The other ids of that one stay with its records:
+// only they say which were never used.
+auto IsTakenOver(const Dispatcher& dispatcher, const JobId& id) -> bool;
+
+// Answers a request from the records that hold the id.
 auto LookUp(Step& step, CallerRequest request) -> void;
 
 // The same from the ledger of a given incarnation: the id's own, or a
--- a/servers/dispatcher/record_lookup.cc
+++ b/servers/dispatcher/record_lookup.cc
@@ -245,8 +245,8 @@
 
 auto LookUp(Step& step, CallerRequest request) -> void {
   const auto id = IdOf(request.call);
-  const auto adopted = step.dispatcher.adopted.contains(id.incarnation);
-  LookUpIn(step, adopted ? step.dispatcher.self : id.incarnation,
+  const auto taken_over = IsTakenOver(step.dispatcher, id);
+  LookUpIn(step, taken_over ? step.dispatcher.self : id.incarnation,
            std::move(request));
 }
 
--- a/servers/dispatcher/state.h
+++ b/servers/dispatcher/state.h
@@ -203,8 +203,8 @@
   std::unordered_map<uint64_t, RelayedRequest> relays;
   std::unordered_map<JobId, OpenLookup> lookups;
   Instant next_closing;  // closing gone ledgers is rate-limited
-  // Unused ids of an instance that stopped as planned and named this one as
-  // successor.
+  // By an instance that stopped as planned and named this one as successor: its
+  // ids that were unused then and were submitted here.
   std::map<Incarnation, SequenceRanges> adopted;
 
   uint64_t next_token = 1;
--- a/servers/dispatcher/submitting.cc
+++ b/servers/dispatcher/submitting.cc
@@ -117,8 +117,8 @@
   if (id.incarnation == dispatcher.self) {
     return CheckId(dispatcher.mint, id, partner, now);
   }
-  // A stopped instance's batches are not known here: its ledger said that the
-  // id was never used, and the term is the same.
+  // A stopped instance's batches are not known here: its ledger was just read
+  // and said that the id was never used, and the term is the same.
   const auto& used = dispatcher.adopted.at(id.incarnation);
   if (Contains(used, id.sequence)) {
     return IdVerdict::kBelowRetained;
