Tell the callers of a deposed owner what the records say

Cause: when another instance had closed the ledger, the owner still answered 'done' for jobs that had ended before it noticed, whose final record came too late; every other instance answers 'failed, owner_lost' from the records. Such a job is now answered as the records have it; finals that the ledger took before it was closed are settled first and stand. First failed: ThreeInstances.AnOwnerThatWakesDeposedTellsWhatTheRecordsSay.

--- a/servers/dispatcher/job_table.cc
+++ b/servers/dispatcher/job_table.cc
@@ -212,6 +212,25 @@
   }
 }
 
+auto DeposeJob(Step& step, const JobId& id) -> void {
+  const auto found = step.dispatcher.jobs.find(id);
+  if (found == step.dispatcher.jobs.end()) {
+    return;
+  }
+  auto& job = found->second;
+  if (job.state == JobState::kActive) {
+    StopJob(step, id, kReasonDeposed);
+    return;
+  }
+  if (job.final_durable) {
+    return;
+  }
+  job.state = JobState::kFailed;
+  job.reason = kReasonDeposed;
+  job.answer = MakeAnswer(job, false);
+  AnswerWaiters(step, job);
+}
+
 auto NoteFinalDurable(Step& step, const JobId& id) -> void {
   const auto found = step.dispatcher.jobs.find(id);
   if (found == step.dispatcher.jobs.end() || found->second.final_durable) {
--- a/servers/dispatcher/job_table.h
+++ b/servers/dispatcher/job_table.h
@@ -36,6 +36,10 @@
 // settled. No effect on a job that is already stopping or final.
 auto StopJob(Step& step, const JobId& id, std::string_view reason) -> void;
 
+// The ledger was closed by another instance: what it lacks of this job has
+// failed for every reader, and callers here are told the same.
+auto DeposeJob(Step& step, const JobId& id) -> void;
+
 // The final record of a job is durable: callers that waited for it get their
 // answer.
 auto NoteFinalDurable(Step& step, const JobId& id) -> void;
--- a/servers/dispatcher/record_flow.cc
+++ b/servers/dispatcher/record_flow.cc
@@ -20,6 +20,10 @@
     Log(LogLevel::kInfo, "ledger_closed",
         {{"incarnation", ToString(dispatcher.self)}});
   }
+  // What was written before another instance closed the ledger stands.
+  for (const auto& it : events.finals) {
+    NoteFinalDurable(step, it);
+  }
   for (const auto& it : events.watermarks) {
     RaiseDispatchLimit(step, it.job, it.started_below);
   }
@@ -28,17 +32,14 @@
         {{"incarnation", ToString(dispatcher.self)}});
     dispatcher.deposed = true;
     dispatcher.view_changed = true;
-    std::vector<JobId> active;
+    std::vector<JobId> jobs;
     for (const auto& it : dispatcher.jobs) {
-      active.push_back(it.first);
+      jobs.push_back(it.first);
     }
-    for (const auto& it : active) {
-      StopJob(step, it, kReasonDeposed);
+    for (const auto& it : jobs) {
+      DeposeJob(step, it);
     }
   }
-  for (const auto& it : events.finals) {
-    NoteFinalDurable(step, it);
-  }
   for (const auto& it : events.addendum_finals) {
     NoteFinalDurable(step, it);
   }
