--- a/peers/instance/instance_codec.cc
+++ b/peers/instance/instance_codec.cc
@@ -122,6 +122,7 @@
 auto FromWireDemands(std::vector<wire::WireDemand>& demands)
     -> std::vector<Demand> {
   std::vector<Demand> out;
+  out.reserve(demands.size());
   for (auto& it : demands) {
     out.push_back(Demand{.name = std::move(it.name),
                          .tasks = static_cast<uint32_t>(it.tasks)});
