Reset a connection to a peer also when nothing is heard from it

The connections between two instances can go silent in both directions at once. Then neither hears the other, each counts the other as out of reach, and a connection was only reset towards a peer that is still heard: both wrote into the void for good while new connections would have worked. Now a connection is reset whenever the peer has not shown for the limit that it hears this instance, and again after each further wait. Ruled out: TCP keepalive, which a middlebox that acknowledges and forgets answers itself.

--- a/servers/membership/membership.cc
+++ b/servers/membership/membership.cc
@@ -166,8 +166,7 @@
     const auto limit =
         settings.silent_after +
         (local ? milliseconds(0) : settings.remote_heartbeat_interval * 2);
-    if (IsReachable(membership, peer, now) &&
-        now - peer.echo_progress > limit) {
+    if (now - peer.echo_progress > limit) {
       peer.echo_progress = now;
       silent.push_back(i);
     }
--- a/servers/membership/membership.h
+++ b/servers/membership/membership.h
@@ -90,8 +90,10 @@
 auto TakeDueHeartbeats(Membership& membership, Instant now)
     -> std::vector<size_t>;
 
-// Indices of peers that are heard but do not hear this instance: the connection
-// to them has gone silent. Each is reported once per silence.
+// Indices of peers that have not shown for too long that they hear this
+// instance: the connection to them may have gone silent, and when both
+// directions have, nothing is heard of them either. Each is reported again
+// after as long a wait.
 auto TakeSilentConnections(Membership& membership, Instant now)
     -> std::vector<size_t>;
 
--- a/tests/lab/cluster.cc
+++ b/tests/lab/cluster.cc
@@ -94,6 +94,9 @@
     : options_(std::move(options)), folder_(MakeFolder()) {
   StartPlatform();
   StartEndpoints();
+  if (options_.links) {
+    StartLinks();
+  }
   for (const auto& zone : options_.zones) {
     for (auto i = 0; i < options_.instances_per_zone; ++i) {
       auto& instance = instances_.emplace_back();
@@ -183,8 +186,10 @@
   return false;
 }
 
-auto Cluster::PublishList(const std::vector<std::string>& leaving,
-                          const std::vector<std::string>& absent) -> void {
+auto Cluster::ListFor(const std::string& zone,
+                      const std::vector<std::string>& leaving,
+                      const std::vector<std::string>& absent) const
+    -> boost::json::array {
   const auto state = [&](const std::string& name) {
     return Contains(leaving, name) ? "leaving" : "live";
   };
@@ -197,24 +202,36 @@
                     {"name", it.name},
                     {"zone", it.zone},
                     {"state", state(it.name)},
-                    {"address", ToString(it.instances)}});
+                    {"address", ToString(SeenFrom(zone, it))}});
   }
-  for (const auto& zone : endpoints_) {
-    for (const auto& it : zone.listed) {
+  for (const auto& endpoints : endpoints_) {
+    for (const auto& it : endpoints.listed) {
       auto entry = it.as_object();
       entry["state"] = state(std::string(entry.at("name").as_string()));
       list.push_back(std::move(entry));
     }
   }
-  boost::json::object body;
-  body["instances"] = std::move(list);
-  Post(platform_addresses_.begin()->second, "/list", body);
+  return list;
+}
+
+auto Cluster::PublishList(const std::vector<std::string>& leaving,
+                          const std::vector<std::string>& absent) -> void {
+  for (const auto& zone : options_.zones) {
+    boost::json::object body;
+    body["zone"] = zone;
+    body["instances"] = ListFor(zone, leaving, absent);
+    Post(platform_addresses_.begin()->second, "/list", body);
+  }
 }
 
-auto Cluster::Apply(const std::string& file, size_t index) -> int {
-  ChildProcess ctl({Program("boragecroftctl"), "--instance",
-                    ToString(instances_.at(index).operators), "apply", file},
-                   folder_ + "/ctl.log");
+auto Cluster::Apply(const std::string& file,
+                    size_t index,
+                    const std::vector<std::string>& options) -> int {
+  std::vector<std::string> command = {Program("boragecroftctl"), "--instance",
+                                      ToString(instances_.at(index).operators)};
+  command.insert(command.end(), options.begin(), options.end());
+  command.insert(command.end(), {"apply", file});
+  ChildProcess ctl(command, folder_ + "/ctl-" + std::to_string(index) + ".log");
   return ctl.Wait(kStartTimeout).value_or(-1);
 }
 
@@ -281,12 +298,48 @@
   }
 }
 
+auto Cluster::StartLinks() -> void {
+  links_ = std::make_unique<ChildProcess>(
+      std::vector<std::string>{Program("link_standin")},
+      folder_ + "/links.log");
+  Require(links_->WaitForLine("ready", kStartTimeout), "link stand-in");
+  links_control_ =
+      Loopback(LastNumber(links_->WaitForLine("control", kStartTimeout)));
+}
+
+auto Cluster::AddLinksTo(const Instance& instance) -> void {
+  for (const auto& zone : options_.zones) {
+    const auto key = std::pair(zone, instance.name);
+    if (zone == instance.zone || link_addresses_.contains(key)) {
+      continue;
+    }
+    const auto reply = Post(links_control_, "/links",
+                            {{"from", zone},
+                             {"to", instance.zone},
+                             {"target", ToString(instance.instances)}});
+    link_addresses_[key] = ParseAddress(reply.Text("address")).value();
+  }
+}
+
+auto Cluster::SeenFrom(const std::string& zone, const Instance& instance) const
+    -> Address {
+  const auto it = link_addresses_.find({zone, instance.name});
+  return it == link_addresses_.end() ? instance.instances : it->second;
+}
+
+auto Cluster::ControlLinks(const std::string& from,
+                           const std::string& to,
+                           const std::string& mode) -> void {
+  Post(links_control_, "/control",
+       {{"from", from}, {"to", to}, {"mode", mode}});
+}
+
 auto Cluster::StartInstance(Instance& instance) -> void {
   const auto base = folder_ + "/" + instance.name;
   std::vector<Address> seeds;
   for (const auto& it : instances_) {
     if (it.instances.port != 0 && it.name != instance.name) {
-      seeds.push_back(it.instances);
+      seeds.push_back(SeenFrom(instance.zone, it));
     }
   }
   std::ofstream(base + ".json") << SettingsText(
@@ -303,6 +356,9 @@
   instance.callers = Loopback(listening.at("callers").to_number<int64_t>());
   instance.instances = Loopback(listening.at("instances").to_number<int64_t>());
   instance.operators = Loopback(listening.at("operators").to_number<int64_t>());
+  if (options_.links) {
+    AddLinksTo(instance);
+  }
 }
 
 }  // namespace boragecroft::lab
--- a/tests/lab/cluster.h
+++ b/tests/lab/cluster.h
@@ -26,6 +26,8 @@
   // "\"dead_after_ms\": 2000".
   std::string extra_settings;
   std::string declarations_file;  // empty: that of the deployment
+  // Whether instances of different zones talk through the network's stand-in.
+  bool links = false;
 };
 
 struct Instance {
@@ -70,6 +72,11 @@
   // Sets the behaviour of the platform towards a zone ("*": all); see the
   // stand-in.
   auto ControlPlatform(const boost::json::object& control) -> void;
+  // Sets the links from one zone to another ("*": all), in this direction only:
+  // "open", "cut" or "silent".
+  auto ControlLinks(const std::string& from,
+                    const std::string& to,
+                    const std::string& mode) -> void;
   auto ControlWorker(size_t zone, const boost::json::object& control) -> void;
 
   // Starts a new process for an instance at the same addresses and waits until
@@ -83,8 +90,10 @@
   auto PublishList(const std::vector<std::string>& leaving = {},
                    const std::vector<std::string>& absent = {}) -> void;
   // Applies a declarations file by boragecroftctl through an instance; the exit
-  // code.
-  auto Apply(const std::string& file, size_t index = 0) -> int;
+  // code. `options` are further options of the tool.
+  auto Apply(const std::string& file,
+             size_t index = 0,
+             const std::vector<std::string>& options = {}) -> int;
 
   // Asks every endpoint stand-in what it started.
   auto CountStarts() -> StartCounts;
@@ -93,12 +102,25 @@
  private:
   auto StartPlatform() -> void;
   auto StartEndpoints() -> void;
+  auto StartLinks() -> void;
   auto StartInstance(Instance& instance) -> void;
+  auto AddLinksTo(const Instance& instance) -> void;
+  // Where the instances of a zone reach an instance.
+  auto SeenFrom(const std::string& zone, const Instance& instance) const
+      -> Address;
+  auto ListFor(const std::string& zone,
+               const std::vector<std::string>& leaving,
+               const std::vector<std::string>& absent) const
+      -> boost::json::array;
 
   const ClusterOptions options_;
   std::string folder_;
   std::unique_ptr<ChildProcess> platform_;
   std::map<std::string, Address> platform_addresses_;
+  std::unique_ptr<ChildProcess> links_;
+  Address links_control_;
+  std::map<std::pair<std::string, std::string>, Address>
+      link_addresses_;  // by zone and instance
   std::vector<EndpointZone> endpoints_;
   std::vector<Instance> instances_;
 };
--- /dev/null
+++ b/tests/process/bad_input_test.cc
@@ -0,0 +1,131 @@
+// Requests that break the callers' interface: a typed error that says "not
+// run", and the daemon goes on.
+#include <boost/json/serialize.hpp>
+
+#include "core/json/text.h"
+#include "tests/lab/raw_connection.h"
+#include "tests/process/story.h"
+
+namespace boragecroft::lab {
+namespace {
+
+namespace json = boost::json;
+
+constexpr milliseconds kSilence{1000};
+constexpr milliseconds kSlowSenderTimeout{20000};
+constexpr size_t kTooLarge = 9U << 20U;
+
+auto OneZone() -> ClusterOptions {
+  auto options = StoryOptions();
+  options.zones = {"bilbao"};
+  return options;
+}
+
+class ABadRequest : public Story {
+ protected:
+  ABadRequest() : Story(OneZone()) {}
+
+  static auto Head(size_t length) -> std::string {
+    return "POST /v1/jobs HTTP/1.1\r\nHost: test\r\nContent-Type: "
+           "application/json\r\nContent-Length: " +
+           std::to_string(length) + "\r\n\r\n";
+  }
+
+  static auto BodyOf(const std::string& response) -> json::value {
+    const auto at = response.find("\r\n\r\n");
+    auto body =
+        ParseJson(at == std::string::npos ? "" : response.substr(at + 4));
+    return body.has_value() ? body.value() : json::value();
+  }
+
+  static auto ExpectNotRun(const json::value& body, std::string_view code)
+      -> void {
+    ASSERT_TRUE(body.is_object()) << code;
+    EXPECT_TRUE(body.at("not_run").as_bool());
+    EXPECT_EQ(body.at("state").as_string(), "refused");
+    EXPECT_EQ(body.at("error").at("code").as_string(), code);
+  }
+
+  // The daemon serves the next request as ever.
+  auto ExpectGoesOn() -> void {
+    const auto job = NewJob(0, 2, 10);
+    EXPECT_EQ(Submit(Callers(0), job, seconds(5)).Text("state"), "done");
+    EXPECT_EQ(cluster.CountStarts().total, 2);
+  }
+
+  auto ExpectRefused(const std::string& text, int status, std::string_view code)
+      -> void {
+    const auto reply = Send(Callers(0), "POST", "/v1/jobs", text, seconds(10));
+    EXPECT_EQ(reply.status, status);
+    ExpectNotRun(reply.body, code);
+  }
+};
+
+TEST_F(ABadRequest, ThatIsNoValidSubmissionIsNamed) {
+  ExpectRefused("{\"schema_version\": 2, \"id\":", 400, "malformed_json");
+  ExpectRefused("[1, 2]", 422, "invalid_field");
+  auto wrong_type = ToBody(NewJob(0, 1, 10));
+  wrong_type["partner"] = 7;
+  ExpectRefused(json::serialize(wrong_type), 422, "invalid_field");
+  auto unknown_version = ToBody(NewJob(0, 1, 10));
+  unknown_version["schema_version"] = 99;
+  ExpectRefused(json::serialize(unknown_version), 422, "unknown_version");
+  ExpectRefused(json::serialize(ToBody(NewJob(0, 2001, 10))), 422,
+                "too_many_tasks");
+  ExpectGoesOn();
+}
+
+TEST_F(ABadRequest, WhoseBodyIsTooLargeIsRefusedBeforeItIsRead) {
+  const RawConnection connection(Callers(0));
+  connection.Send(Head(kTooLarge));
+  const auto response = connection.ReadAll(kSilence);
+  EXPECT_TRUE(response.starts_with("HTTP/1.1 413")) << response;
+  ExpectNotRun(BodyOf(response), "body_too_large");
+  ExpectGoesOn();
+}
+
+TEST_F(ABadRequest, ThatIsNotHttpIsNamed) {
+  const RawConnection connection(Callers(0));
+  connection.Send("\x16\x03\x01 this is not HTTP\r\n\r\n");
+  const auto response = connection.ReadAll(kSilence);
+  EXPECT_TRUE(response.starts_with("HTTP/1.1 400")) << response;
+  ExpectNotRun(BodyOf(response), "malformed_http");
+  ExpectGoesOn();
+}
+
+TEST_F(ABadRequest, ThatNeverEndsIsTimedOut) {
+  const auto body = json::serialize(ToBody(NewJob(0, 1, 10)));
+  const RawConnection connection(Callers(0));
+  connection.Send(Head(body.size()) + body.substr(0, body.size() / 2));
+  const auto response = connection.ReadAll(kSlowSenderTimeout);
+  EXPECT_TRUE(response.starts_with("HTTP/1.1 408")) << response;
+  ExpectNotRun(BodyOf(response), "too_slow");
+  ExpectGoesOn();
+}
+
+TEST_F(ABadRequest, WhoseSenderClosesHalfwayStartsNothing) {
+  const auto body = json::serialize(ToBody(NewJob(0, 1, 10)));
+  const RawConnection connection(Callers(0));
+  connection.Send(Head(body.size()) + body.substr(0, body.size() / 2));
+  connection.CloseSending();
+  const auto response = connection.ReadAll(kSilence);
+  EXPECT_TRUE(response.starts_with("HTTP/1.1 400")) << response;
+  ExpectNotRun(BodyOf(response), "malformed_http");
+  ExpectGoesOn();
+}
+
+TEST_F(ABadRequest, IsNoneWhenOnlyTheSendingSideIsClosed) {
+  const auto job = NewJob(0, 1, 10);
+  const auto body = json::serialize(ToBody(job));
+  const RawConnection connection(Callers(0));
+  connection.Send(Head(body.size()) + body);
+  connection.CloseSending();
+  const auto response = connection.ReadAll(kSilence);
+  EXPECT_TRUE(response.starts_with("HTTP/1.1 202")) << response;
+  EXPECT_EQ(
+      AwaitFinal(Callers(0), job.id, job.partner, seconds(10)).Text("state"),
+      "done");
+}
+
+}  // namespace
+}  // namespace boragecroft::lab
--- /dev/null
+++ b/tests/process/endpoints_test.cc
@@ -0,0 +1,119 @@
+// Endpoints that fail in every way: a caller gets the whole answer to its own
+// request or a failure, and nothing starts twice.
+#include "tests/process/story.h"
+
+namespace boragecroft::lab {
+namespace {
+
+class EndpointsInTrouble : public Story {
+ protected:
+  auto SetMode(std::string_view mode, int worker = -1, int late_ms = 0)
+      -> void {
+    boost::json::object control;
+    control["worker"] = worker;
+    control["mode"] = mode;
+    control["late_ms"] = late_ms;
+    cluster.ControlWorker(0, control);
+  }
+
+  // Serves some jobs in this mode and holds their answers against the counts.
+  auto ServeIn(std::string_view mode, int late_ms = 0) -> void {
+    SetMode(mode, -1, late_ms);
+    std::vector<JobSpec> jobs;
+    for (auto i = 0; i < 4; ++i) {
+      jobs.push_back(NewJob(0, 3, 50));
+      jobs.back().deadline = seconds(8);
+      Submit(Callers(0), jobs.back());
+    }
+    std::vector<JsonReply> answers;
+    for (const auto& it : jobs) {
+      answers.push_back(ExpectOneAnswer(cluster, {0, 1}, it.id, it.partner));
+    }
+    SetMode("normal");
+    const auto counts = cluster.CountStarts();
+    EXPECT_EQ(counts.double_starts, 0);
+    for (size_t i = 0; i < jobs.size(); ++i) {
+      ExpectTrue(answers[i], counts, jobs[i]);
+    }
+  }
+
+  auto StartsAtWorker(size_t index) -> int64_t {
+    const auto reply = Get(cluster.Endpoints()[0].control, "/counters");
+    const auto& workers = reply.body.at("workers").as_array();
+    return workers.at(index).at("starts").to_number<int64_t>();
+  }
+
+  // Serves one small job after another until `holds` or the time is over.
+  auto ServeUntil(milliseconds timeout, const std::function<bool()>& holds)
+      -> bool {
+    return Eventually(timeout, [&] {
+      const auto job = NewJob(0, 8, 20);
+      EXPECT_EQ(Submit(Callers(0), job, seconds(5)).Text("state"), "done");
+      return holds();
+    });
+  }
+
+  auto ExpectNoNewWork(size_t worker) -> void {
+    const auto before = StartsAtWorker(worker);
+    for (auto i = 0; i < 10; ++i) {
+      const auto job = NewJob(0, 8, 20);
+      EXPECT_EQ(Submit(Callers(0), job, seconds(5)).Text("state"), "done");
+    }
+    EXPECT_EQ(StartsAtWorker(worker), before);
+  }
+};
+
+TEST_F(EndpointsInTrouble, SilentOnesStartNothingTwice) {
+  ServeIn("silent");
+}
+
+TEST_F(EndpointsInTrouble, LateOnesAreWaitedForOrFailed) {
+  ServeIn("late", 1500);
+}
+
+TEST_F(EndpointsInTrouble, CrossedAnswersReachNoOneElse) {
+  ServeIn("crossed");
+}
+
+TEST_F(EndpointsInTrouble, GarbledAnswersAreNoAnswers) {
+  ServeIn("garbled");
+}
+
+TEST_F(EndpointsInTrouble, FailingOnesFailJobsWhole) {
+  ServeIn("fail");
+}
+
+TEST_F(EndpointsInTrouble, AWorkerThatRefusesAsDrainingGetsNoNewWork) {
+  SetMode("draining", 0);
+  const auto draining = [&] {
+    const auto reply = Get(Operators(0), "/v1/instances");
+    for (const auto& it : reply.body.at("workers").as_array()) {
+      if (it.at("draining").as_bool() && !it.at("usable").as_bool()) {
+        return true;
+      }
+    }
+    return false;
+  };
+  EXPECT_TRUE(ServeUntil(seconds(10), draining));
+  ExpectNoNewWork(0);
+}
+
+TEST_F(EndpointsInTrouble, AWorkerThatLeavesByTheListGetsNoNewWork) {
+  ASSERT_TRUE(ServeUntil(seconds(10), [&] { return StartsAtWorker(0) > 0; }));
+  const auto name =
+      std::string(cluster.Endpoints()[0].listed[0].at("name").as_string());
+  cluster.PublishList({name});
+  EXPECT_TRUE(Eventually(seconds(5), [&] {
+    const auto reply = Get(Operators(0), "/v1/instances");
+    for (const auto& it : reply.body.at("workers").as_array()) {
+      if (it.at("worker").as_string() == name) {
+        return !it.at("usable").as_bool();
+      }
+    }
+    return true;
+  }));
+  ExpectNoNewWork(0);
+}
+
+}  // namespace
+}  // namespace boragecroft::lab
--- /dev/null
+++ b/tests/process/platform_test.cc
@@ -0,0 +1,99 @@
+// The platform goes away while jobs run: accepted work goes on, and afterwards
+// each submission has one final record.
+#include <map>
+
+#include "tests/process/story.h"
+
+namespace boragecroft::lab {
+namespace {
+
+constexpr int kJobs = 12;
+constexpr int kTasks = 5;
+
+class APlatformInTrouble : public Story {
+ protected:
+  auto SetMode(std::string_view mode, int write_ms = 5) -> void {
+    boost::json::object control;
+    control["mode"] = mode;
+    control["write_ms"] = write_ms;
+    cluster.ControlPlatform(control);
+  }
+
+  // Jobs of which half are submitted before the trouble and half within it.
+  auto Serve(std::string_view mode, int write_ms) -> void {
+    for (auto i = 0; i < kJobs; ++i) {
+      jobs.push_back(NewJob(static_cast<size_t>(i) % 3, kTasks, 50));
+    }
+    SubmitJobs(0, kJobs / 2);
+    SetMode(mode, write_ms);
+    SubmitJobs(kJobs / 2, kJobs);
+    for (size_t i = 0; i < jobs.size(); ++i) {
+      const auto reply =
+          AwaitFinal(Callers(i % 3), jobs[i].id, jobs[i].partner, seconds(20));
+      EXPECT_EQ(reply.Text("state"), "done")
+          << i << " " << reply.Text("reason") << reply.status;
+    }
+    SetMode("up");
+  }
+
+  auto SubmitJobs(int from, int to) -> void {
+    for (auto i = from; i < to; ++i) {
+      const auto& job = jobs[static_cast<size_t>(i)];
+      const auto reply = Submit(Callers(static_cast<size_t>(i) % 3), job);
+      EXPECT_LT(reply.status, 300) << reply.Text("state");
+    }
+  }
+
+  // The account counts each submission once; it may still be written.
+  auto ExpectOneRecordEach() -> void {
+    JsonReply reply;
+    EXPECT_TRUE(Eventually(seconds(15), [&] {
+      reply = Get(Operators(0), "/v1/account", seconds(5));
+      return reply.status == 200 && Sum(reply, "done") >= kJobs;
+    })) << Sum(reply, "done");
+    EXPECT_EQ(Sum(reply, "submissions"), kJobs);
+    EXPECT_EQ(Sum(reply, "done"), kJobs);
+    EXPECT_EQ(Sum(reply, "tasks_done"), kJobs * kTasks);
+    const auto counts = cluster.CountStarts();
+    EXPECT_EQ(counts.total, kJobs * kTasks);
+    EXPECT_EQ(counts.double_starts, 0);
+    for (const auto& it : jobs) {
+      ExpectOneAnswer(cluster, {0, 1, 2}, it.id, it.partner);
+    }
+  }
+
+  static auto Sum(const JsonReply& reply, std::string_view column) -> int64_t {
+    int64_t sum = 0;
+    if (reply.status == 200) {
+      for (const auto& it : reply.body.at("rows").as_array()) {
+        sum += it.at(column).to_number<int64_t>();
+      }
+    }
+    return sum;
+  }
+
+  std::vector<JobSpec> jobs;
+};
+
+TEST_F(APlatformInTrouble, DownKeepsAcceptedWorkGoing) {
+  Serve("down", 5);
+  ExpectOneRecordEach();
+}
+
+TEST_F(APlatformInTrouble, SilentKeepsAcceptedWorkGoing) {
+  Serve("silent", 5);
+  ExpectOneRecordEach();
+}
+
+TEST_F(APlatformInTrouble, SlowKeepsAcceptedWorkGoing) {
+  Serve("up", 300);
+  ExpectOneRecordEach();
+}
+
+TEST_F(APlatformInTrouble, LosingAnswersKeepsAcceptedWorkGoing) {
+  Serve("lose_answers", 5);
+  ExpectOneRecordEach();
+}
+
+}  // namespace
+}  // namespace boragecroft::lab
