--- /dev/null
+++ b/tests/standins/link/relay.h
@@ -0,0 +1,50 @@
+// The network between availability zones: each link is a port that leads from
+// one zone to one instance of another and passes frames on while it is open.
+#ifndef TESTS_STANDINS_LINK_RELAY_H_
+#define TESTS_STANDINS_LINK_RELAY_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/base/address.h"
+
+namespace boragecroft::standins {
+
+class Relay;
+
+struct Link {
+  explicit Link(boost::asio::io_context& context) : acceptor(context) {}
+
+  std::string from_zone;
+  std::string to_zone;
+  Address target;
+  Address address;  // where the instances of `from_zone` see the target
+  bool cut = false;
+  boost::asio::ip::tcp::acceptor acceptor;
+  std::vector<std::weak_ptr<Relay>> relays;
+};
+
+struct Network {
+  boost::asio::io_context context;
+  std::vector<std::unique_ptr<Link>> links;
+};
+
+enum class LinkMode {
+  kOpen,
+  kCut,    // nothing passes, on old connections or new ones
+  kSilent  // nothing passes on the connections of this moment; new ones work
+};
+
+// Opens a port for a link; its address.
+auto AddLink(Network& network,
+             const std::string& from_zone,
+             const std::string& to_zone,
+             const Address& target) -> Address;
+auto SetMode(Link& link, LinkMode mode) -> void;
+
+}  // namespace boragecroft::standins
+
+#endif  // TESTS_STANDINS_LINK_RELAY_H_
--- a/tests/standins/platform/main.cc
+++ b/tests/standins/platform/main.cc
@@ -1,7 +1,9 @@
 // Stands in for the platform: docs/PLATFORM.md in memory, one port for each
 // availability zone so that a zone can be cut off. POST /control {"zone": NAME
 // or "*", "mode": "up" | "down" | "silent" | "lose_answers" | "stale_reads",
-// "write_ms": N, "read_ms": N} sets its behaviour; POST /list {"zone": NAME or
+// "write_ms": N, "read_ms": N} sets its behaviour; the replica of stale reads
+// catches up with each of these calls but those with "keep_replica"; POST /list
+// {"zone": NAME or
 // "*", "instances": [...]} sets the list. Prints "ZONE PORT" for each zone,
 // then "ready".
 #include <boost/asio/io_context.hpp>
@@ -82,7 +84,9 @@
     it->read_delay =
         milliseconds(NumberOr(body, "read_ms", it->read_delay.count()));
   }
-  platform.table.replica = platform.table.rows;
+  if (!body.contains("keep_replica")) {
+    platform.table.replica = platform.table.rows;
+  }
 }
 
 auto SetList(Platform& platform, const json::object& body) -> void {
