Describe the callers' interface, and hold the page to the codecs

A caller in another language had to read the codecs to know fields, limits, codes and when the same id may be sent again. docs/API.md now says so, as coded; its JSON blocks are read from the page by caller_tests, run through ParseSubmission, ParseMint and ToHttp, and compared member by member, and each code must stand in the table with the status that ToHttp gives it.

--- /dev/null
+++ b/tests/peers/caller/api_examples_test.cc
@@ -0,0 +1,237 @@
+// The examples of the callers' page go through the codecs, so that the page
+// says what the code does.
+#include <gtest/gtest.h>
+
+#include "core/json/text.h"
+#include "peers/caller/caller_codec.h"
+#include "peers/caller/submission_codec.h"
+#include "tests/peers/caller/page_examples.h"
+
+namespace boragecroft {
+namespace {
+
+class ApiPageTest : public testing::Test {
+ protected:
+  auto Example(const std::string& name) -> std::string {
+    const auto it = examples_.find(name);
+    EXPECT_NE(it, examples_.end()) << name;
+    return it == examples_.end() ? std::string() : it->second;
+  }
+
+  auto Submit(const std::string& name) -> SubmitRequest {
+    auto parsed = ParseSubmission(Example(name), PageConfiguration());
+    EXPECT_TRUE(parsed.has_value()) << name << ": " << parsed.error().reason;
+    return parsed.value();
+  }
+
+  // The example is what the codec makes of the reply, member for member.
+  auto ExpectShown(const std::string& name, const HttpResponse& response)
+      -> void {
+    const auto shown = ParseJson(Example(name));
+    ASSERT_TRUE(shown.has_value()) << name << ": " << shown.error().reason;
+    EXPECT_EQ(shown.value(), ParseJson(response.body).value()) << name;
+  }
+
+  auto Answer(JobState state, std::vector<TaskState> tasks) -> CallerAnswer {
+    CallerAnswer answer;
+    answer.id = *ParseJobId("9f3c2a1b4d5e6f70-19ae8bfe6b0-0");
+    answer.state = state;
+    answer.tasks = std::move(tasks);
+    return answer;
+  }
+
+  static auto Encode(const CallerAnswer& answer, int version) -> HttpResponse {
+    return ToHttp(AnswerReply{.answer = std::make_shared<CallerAnswer>(answer)},
+                  version);
+  }
+
+  const std::map<std::string, std::string> examples_ = PageExamples();
+};
+
+TEST_F(ApiPageTest, EveryJsonBlockIsAnExampleThatATestReads) {
+  const std::vector<std::string> read = {
+      "answer-active",  "answer-done-v1",   "answer-done-v2", "answer-failed",
+      "answer-refused", "answer-undecided", "error-field",    "mint-answer",
+      "mint-request",   "submit-key",       "submit-least",   "submit-v1",
+      "submit-v2"};
+  std::vector<std::string> names;
+  for (const auto& it : examples_) {
+    names.push_back(it.first);
+  }
+  EXPECT_EQ(names, read);
+  const auto page = ReadSource("docs/API.md");
+  size_t blocks = 0;
+  for (auto at = page.find("```json"); at != std::string::npos;
+       at = page.find("```json", at + 1)) {
+    ++blocks;
+  }
+  EXPECT_EQ(blocks, read.size());
+}
+
+// A caller mints ids.
+class ApiPageMintTest : public ApiPageTest {};
+
+TEST_F(ApiPageMintTest, RequestIsRead) {
+  const auto mint = ParseMint(Example("mint-request"));
+  ASSERT_TRUE(mint.has_value()) << mint.error().reason;
+  EXPECT_EQ(mint.value().request.partner, "banco-cantabrico");
+  EXPECT_EQ(mint.value().request.count, 2U);
+  EXPECT_EQ(mint.value().schema_version, 2);
+}
+
+TEST_F(ApiPageMintTest, AnswerListsTheIds) {
+  MintReply reply;
+  reply.first = *ParseJobId("9f3c2a1b4d5e6f70-19ae8bfe6b0-0");
+  reply.count = 2;
+  reply.term = milliseconds(600000);
+  ExpectShown("mint-answer", ToHttp(reply, 2));
+}
+
+// It submits under one of them.
+class ApiPageSubmitTest : public ApiPageTest {};
+
+TEST_F(ApiPageSubmitTest, EveryFieldIsRead) {
+  const auto submission = Submit("submit-v2").submission;
+  EXPECT_EQ(ToString(submission->id), "9f3c2a1b4d5e6f70-19ae8bfe6b0-0");
+  EXPECT_EQ(submission->partner, "banco-cantabrico");
+  EXPECT_EQ(submission->team, "banks");
+  EXPECT_EQ(submission->service, "cartas");
+  EXPECT_EQ(submission->kind, "reminder");
+  EXPECT_EQ(submission->urgency_class, "reminders");
+  EXPECT_EQ(submission->deadline, milliseconds(60000));
+  EXPECT_EQ(submission->run_time_hint, milliseconds(200));
+  EXPECT_FALSE(submission->repeatable);
+  EXPECT_EQ(submission->needs, (Needs{.cpu_millis = 500, .memory_mb = 256}));
+  EXPECT_EQ(submission->payloads,
+            (std::vector<std::string>{"{\"letter\":17}", "{\"letter\":18}"}));
+}
+
+TEST_F(ApiPageSubmitTest, VersionOneSaysTheSame) {
+  const auto older = Submit("submit-v1").submission;
+  const auto newer = Submit("submit-v2").submission;
+  EXPECT_EQ(older->schema_version, 1);
+  EXPECT_EQ(newer->schema_version, 2);
+  EXPECT_EQ(older->id, newer->id);
+  EXPECT_EQ(older->urgency_class, newer->urgency_class);
+  EXPECT_EQ(older->deadline, newer->deadline);
+  EXPECT_EQ(older->run_time_hint, newer->run_time_hint);
+  EXPECT_EQ(older->needs, newer->needs);
+  EXPECT_EQ(older->payloads, newer->payloads);
+}
+
+TEST_F(ApiPageSubmitTest, AbsentFieldsTakeTheirDefaults) {
+  const auto submission = Submit("submit-least").submission;
+  EXPECT_EQ(submission->kind, "default");
+  EXPECT_EQ(submission->deadline, milliseconds(10000));  // of confirmations
+  EXPECT_EQ(submission->run_time_hint, milliseconds(0));
+  EXPECT_FALSE(submission->repeatable);
+  EXPECT_EQ(submission->needs, Needs());
+}
+
+TEST_F(ApiPageSubmitTest, AKeyStandsInPlaceOfAnId) {
+  EXPECT_EQ(Submit("submit-key").caller_key, "run-2026-12/banco-7");
+}
+
+// It reads how the job stands.
+class ApiPageAnswerTest : public ApiPageTest {};
+
+TEST_F(ApiPageAnswerTest, Active) {
+  const auto response = Encode(
+      Answer(JobState::kActive, {TaskState::kStarted, TaskState::kQueued}), 2);
+  EXPECT_EQ(response.status, 202);
+  ExpectShown("answer-active", response);
+}
+
+TEST_F(ApiPageAnswerTest, DoneInBothVersions) {
+  auto answer = Answer(JobState::kDone, {TaskState::kDone, TaskState::kDone});
+  answer.recorded = true;
+  answer.results = {"{\"pages\":2}", "{\"pages\":1}"};
+  EXPECT_EQ(Encode(answer, 2).status, 200);
+  ExpectShown("answer-done-v2", Encode(answer, 2));
+  ExpectShown("answer-done-v1", Encode(answer, 1));
+}
+
+TEST_F(ApiPageAnswerTest, Failed) {
+  auto answer =
+      Answer(JobState::kFailed, {TaskState::kDone, TaskState::kNotRun});
+  answer.reason = "deadline";
+  EXPECT_EQ(Encode(answer, 2).status, 200);
+  ExpectShown("answer-failed", Encode(answer, 2));
+}
+
+TEST_F(ApiPageAnswerTest, Refused) {
+  const auto response =
+      ToHttp(RefusalReply{.refusal = Refusal::kDeadline,
+                          .reason = "the queue ahead is too long for the "
+                                    "deadline or its bound",
+                          .retry_after = milliseconds(1200)},
+             2);
+  EXPECT_EQ(response.status, 429);
+  EXPECT_EQ(FindHeader(response.headers, "Retry-After"), "2");
+  ExpectShown("answer-refused", response);
+}
+
+TEST_F(ApiPageAnswerTest, Undecided) {
+  const auto response = ToHttp(
+      UndecidedReply{.reason = "the instance that owns this id did not answer",
+                     .retry_after = milliseconds(500)},
+      2);
+  EXPECT_EQ(response.status, 504);
+  ExpectShown("answer-undecided", response);
+}
+
+TEST_F(ApiPageAnswerTest, FaultyField) {
+  auto body = Example("submit-v2");
+  body.replace(body.find("\"reminders\""), 11, "\"letters\"");
+  const auto parsed = ParseSubmission(body, PageConfiguration());
+  ASSERT_TRUE(parsed.has_error());
+  EXPECT_EQ(ToHttp(parsed.error()).status, 422);
+  ExpectShown("error-field", ToHttp(parsed.error()));
+}
+
+// The table of codes has each code with its status.
+class ApiPageCodesTest : public ApiPageTest {
+ protected:
+  auto ExpectRow(const HttpResponse& response) -> void {
+    const auto body = ParseJson(response.body).value();
+    const auto code = std::string(body.at("error").at("code").as_string());
+    const auto row =
+        "| `" + code + "` | " + std::to_string(response.status) + " |";
+    EXPECT_NE(page_.find(row), std::string::npos) << row;
+  }
+
+  const std::string page_ = ReadSource("docs/API.md");
+};
+
+TEST_F(ApiPageCodesTest, OfRefusals) {
+  for (const auto it :
+       {Refusal::kInvalid, Refusal::kUnknownPartner, Refusal::kWrongPartner,
+        Refusal::kIdExpired, Refusal::kIdNotMinted, Refusal::kCanNeverRun,
+        Refusal::kDeadline, Refusal::kQueueFull, Refusal::kDraining,
+        Refusal::kOverloaded, Refusal::kNotReady}) {
+    ExpectRow(ToHttp(RefusalReply{.refusal = it}, 2));
+  }
+}
+
+TEST_F(ApiPageCodesTest, OfRequestsThatBreakTheInterface) {
+  for (const auto it :
+       {ApiErrorCode::kMalformedHttp, ApiErrorCode::kBodyTooLarge,
+        ApiErrorCode::kHeadTooLarge, ApiErrorCode::kTooSlow,
+        ApiErrorCode::kMalformedJson, ApiErrorCode::kInvalidField,
+        ApiErrorCode::kUnknownVersion, ApiErrorCode::kTooManyTasks,
+        ApiErrorCode::kNoSuchResource}) {
+    ExpectRow(ToHttp(ApiError{.code = it}));
+  }
+}
+
+TEST_F(ApiPageCodesTest, OfTaskStates) {
+  for (const auto it :
+       {TaskState::kQueued, TaskState::kStarted, TaskState::kDone,
+        TaskState::kFailed, TaskState::kNotRun, TaskState::kMayHaveRun}) {
+    const auto row = "| `" + std::string(ToString(it)) + "` |";
+    EXPECT_NE(page_.find(row), std::string::npos) << row;
+  }
+}
+
+}  // namespace
+}  // namespace boragecroft
--- /dev/null
+++ b/tests/peers/caller/submission_fuzz_test.cc
@@ -0,0 +1,98 @@
+// Damaged and random bodies of callers are read or refused with code and
+// reason; what is read keeps the limits of the page.
+#include <gtest/gtest.h>
+
+#include "core/json/text.h"
+#include "peers/caller/caller_codec.h"
+#include "peers/caller/submission_codec.h"
+#include "tests/peers/caller/page_examples.h"
+#include "tests/peers/mutation.h"
+
+namespace boragecroft {
+namespace {
+
+auto CheckError(const ApiError& error) -> void {
+  RC_ASSERT(!error.reason.empty());
+  const auto response = ToHttp(error);
+  RC_ASSERT(response.status >= 400);
+  RC_ASSERT(response.status < 500);
+  const auto body = ParseJson(response.body);
+  RC_ASSERT(body.has_value());
+  RC_ASSERT(!body.value().at("error").at("code").as_string().empty());
+  RC_ASSERT(body.value().at("not_run").as_bool());
+}
+
+auto CheckSubmission(const SubmitRequest& submit,
+                     const Configuration& configuration) -> void {
+  const auto& submission = *submit.submission;
+  const auto& limits = configuration.limits;
+  RC_ASSERT(submission.schema_version >= kOldestRecordVersion);
+  RC_ASSERT(submission.schema_version <= kNewestRecordVersion);
+  RC_ASSERT(FindPartner(configuration, submission.partner) != nullptr);
+  RC_ASSERT(FindService(configuration, submission.service) != nullptr);
+  RC_ASSERT(FindClass(configuration, submission.urgency_class) != nullptr);
+  RC_ASSERT(submission.deadline.count() > 0);
+  RC_ASSERT(submission.deadline <= limits.max_deadline);
+  RC_ASSERT(!submission.payloads.empty());
+  RC_ASSERT(submission.payloads.size() <= limits.max_tasks_per_job);
+  for (const auto& it : submission.payloads) {
+    RC_ASSERT(it.size() <= limits.max_payload_bytes);
+    RC_ASSERT(ParseJson(it).has_value());
+  }
+}
+
+auto CheckBody(const std::string& body) -> void {
+  static const auto configuration = PageConfiguration();
+  const auto submit = ParseSubmission(body, configuration);
+  if (submit.has_error()) {
+    CheckError(submit.error());
+  } else {
+    CheckSubmission(submit.value(), configuration);
+  }
+  const auto mint = ParseMint(body);
+  if (mint.has_error()) {
+    CheckError(mint.error());
+  } else {
+    RC_ASSERT(mint.value().request.count >= 1U);
+    RC_ASSERT(mint.value().request.count <= 1000U);
+  }
+}
+
+auto Valid() -> std::string {
+  static const auto examples = PageExamples();
+  const auto name = *rc::gen::elementOf(std::vector<std::string>{
+      "submit-v1", "submit-v2", "submit-least", "submit-key", "mint-request"});
+  return examples.at(name);
+}
+
+RC_GTEST_PROP(SubmissionFuzzTest, RandomBytes, ()) {
+  CheckBody(*rc::gen::arbitrary<std::string>());
+}
+
+RC_GTEST_PROP(SubmissionFuzzTest, MutatedBodies, ()) {
+  CheckBody(Mutate(Valid()));
+}
+
+// One member takes a value of any type: the body stays JSON, so that the checks
+// of fields are reached.
+RC_GTEST_PROP(SubmissionFuzzTest, MembersOfAnotherType, ()) {
+  auto body = ParseJson(Valid()).value().as_object();
+  const auto at = *rc::gen::inRange<size_t>(0, body.size());
+  const auto value = *rc::gen::elementOf(std::vector<std::string>{
+      "null", "true", "-1", "0", "1.5", "9223372036854775808", "\"\"",
+      "\"a\\u0000b\"", "[]", "{}", "[[{}]]", "[null]"});
+  body[(body.begin() + at)->key()] = ParseJson("[" + value + "]").value().at(0);
+  CheckBody(ToJsonText(body));
+}
+
+TEST(SubmissionFuzzTest, TooManyTasksAreRefusedWithTheirCode) {
+  auto body = ParseJson(PageExamples().at("submit-least")).value().as_object();
+  body["tasks"] = json::array(2001, json::value(1));
+  const auto submit = ParseSubmission(ToJsonText(body), PageConfiguration());
+  ASSERT_TRUE(submit.has_error());
+  EXPECT_EQ(submit.error().code, ApiErrorCode::kTooManyTasks);
+  EXPECT_EQ(submit.error().field, "tasks");
+}
+
+}  // namespace
+}  // namespace boragecroft
--- /dev/null
+++ b/tests/peers/endpoint/endpoint_codec_fuzz_test.cc
@@ -0,0 +1,69 @@
+// Answers of endpoints: what does not carry the task's own id never counts as
+// an answer to it.
+#include <gtest/gtest.h>
+
+#include "core/json/text.h"
+#include "peers/endpoint/endpoint_codec.h"
+#include "tests/peers/mutation.h"
+
+namespace boragecroft {
+namespace {
+
+const AttemptId kId{
+    .task = {.job = {.incarnation = Incarnation{0x9f3c},
+                     .sequence = 7,
+                     .minted = WallTime(milliseconds(1760000000000))},
+             .index = 3}};
+
+auto AnyStatus() -> int {
+  return *rc::gen::elementOf(
+      std::vector<int>{200, 204, 404, 409, 422, 429, 500, 503});
+}
+
+auto AnyBody(const std::string& id) -> std::string {
+  const auto state = *rc::gen::elementOf(
+      std::vector<std::string>{"done", "failed", "refused", "running",
+                               "unknown", "stopped", "not_started", "other"});
+  const auto rest = *rc::gen::elementOf(std::vector<std::string>{
+      "", R"(,"result":{"pages":2})", R"(,"reason":"busy")",
+      R"(,"reason":"draining")", R"(,"reason":"cannot_run")",
+      R"(,"reason":"stopped")", R"(,"result":1,"reason":2)"});
+  return R"({"task":")" + id + R"(","state":")" + state + "\"" + rest + "}";
+}
+
+auto CheckOutcome(const AttemptOutcome& outcome) -> void {
+  RC_ASSERT(outcome.id == kId);
+  if (outcome.end == ExchangeEnd::kDone) {
+    RC_ASSERT(ParseJson(outcome.text).has_value());
+  }
+}
+
+auto Answer(std::string body) -> Result<HttpResponse, HttpError> {
+  HttpResponse response;
+  response.status = AnyStatus();
+  response.body = std::move(body);
+  return response;
+}
+
+RC_GTEST_PROP(EndpointCodecFuzzTest, RandomBytesAreNoAnswer, ()) {
+  const auto answer = Answer(*rc::gen::arbitrary<std::string>());
+  RC_ASSERT(DecodeStartAnswer(kId, answer).end == ExchangeEnd::kProtocol);
+  RC_ASSERT(DecodeQueryAnswer(kId, answer).end == ExchangeEnd::kProtocol);
+}
+
+RC_GTEST_PROP(EndpointCodecFuzzTest, AnswersToOtherTasksAreNoAnswer, ()) {
+  const auto other = *rc::gen::elementOf(std::vector<std::string>{
+      "", "x", ToString(kId) + "#1", ToString(kId) + "0"});
+  const auto answer = Answer(AnyBody(other));
+  RC_ASSERT(DecodeStartAnswer(kId, answer).end == ExchangeEnd::kProtocol);
+  RC_ASSERT(DecodeQueryAnswer(kId, answer).end == ExchangeEnd::kProtocol);
+}
+
+RC_GTEST_PROP(EndpointCodecFuzzTest, DamagedAnswers, ()) {
+  const auto answer = Answer(Mutate(AnyBody(ToString(kId))));
+  CheckOutcome(DecodeStartAnswer(kId, answer));
+  CheckOutcome(DecodeQueryAnswer(kId, answer));
+}
+
+}  // namespace
+}  // namespace boragecroft
