--- /dev/null
+++ b/bench/path/main.cc
@@ -0,0 +1,285 @@
+// Measures the way of one request: response time through a daemon against the
+// same request sent straight to the endpoint, requests a second, processor time
+// per task start, and resident memory. Everything runs on loopback.
+#include <iostream>
+#include <set>
+#include <thread>
+
+#include "bench/load/report.h"
+#include "bench/load/submissions.h"
+#include "core/base/random.h"
+#include "tests/lab/cluster.h"
+
+namespace boragecroft::bench {
+namespace {
+
+constexpr uint64_t kDefaultSeed = 20261204;
+constexpr int kFullPercent = 100;
+constexpr int kSlots = 8;
+constexpr milliseconds kDeadline{5000};
+
+struct PathRun {
+  Reporter reporter;
+  Random random;
+  lab::Cluster& cluster;
+  IdSource ids;
+  uint64_t next_direct = 0;
+};
+
+auto DamageNote(milliseconds run, uint32_t tasks) -> JobShape {
+  JobShape shape;
+  shape.service = "logbook";
+  shape.partner = "rangers-huts";
+  shape.urgency_class = "damage-notes";
+  shape.tasks = tasks;
+  shape.run = run;
+  shape.deadline = kDeadline;
+  return shape;
+}
+
+auto Through(PathRun& run,
+             size_t instance,
+             const JobShape& shape,
+             microseconds at,
+             const std::string& stream) -> PlannedRequest {
+  const auto& server = run.cluster.Instances()[instance].callers;
+  PlannedRequest request;
+  request.at = at;
+  request.server = server;
+  request.target = "/v1/jobs?wait_ms=20000";
+  request.body = SubmissionBody(shape, TakeId(run.ids, server, shape.partner));
+  request.stream = stream;
+  request.urgency_class = shape.urgency_class;
+  request.tasks = shape.tasks;
+  request.deadline = shape.deadline;
+  return request;
+}
+
+auto Straight(PathRun& run, milliseconds task_run, microseconds at)
+    -> PlannedRequest {
+  const auto& listed = run.cluster.Endpoints()[0].listed;
+  const auto number = run.next_direct++;
+  const auto& worker = listed[number % listed.size()].as_object();
+  PlannedRequest request;
+  request.at = at;
+  request.server =
+      ParseAddress(worker.at("address").as_string().c_str()).value();
+  request.target = "/v1/tasks";
+  request.body = R"({"schema_version":1,"task":"straight-)" +
+                 std::to_string(number) +
+                 R"(/0","service":"logbook","kind":"default","lease_ms":5000,)"
+                 R"("needs":{"cpu_millis":0,"memory_mb":0,"accelerators":0},)"
+                 R"("payload":{"run_ms":)" +
+                 std::to_string(task_run.count()) + "}}";
+  request.stream = "straight";
+  return request;
+}
+
+// Pairs of the same request, one straight and one through the daemon, in turns;
+// beside them a background through the daemon.
+auto MeasureAdded(PathRun& run,
+                  const std::string& name,
+                  double background_rate,
+                  milliseconds task_run) -> void {
+  constexpr seconds kSpan{10};
+  constexpr milliseconds kPairInterval{10};
+  const auto shape = DamageNote(task_run, 1);
+  std::vector<PlannedRequest> plan;
+  for (microseconds at{0}; at < kSpan; at += kPairInterval) {
+    plan.push_back(Through(run, 0, shape, at, "through"));
+    plan.push_back(Straight(run, task_run, at + kPairInterval / 2));
+  }
+  std::exponential_distribution<double> gap(background_rate / 1e6);
+  for (auto at = background_rate > 0 ? gap(run.random) : 1e12;
+       at < static_cast<double>(microseconds(kSpan).count());
+       at += gap(run.random)) {
+    plan.push_back(Through(
+        run, 0, shape, microseconds(static_cast<int64_t>(at)), "background"));
+  }
+  SortPlan(plan);
+  const auto outcomes = RunLoad(plan, LoadOptions());
+  ExplainFailures(plan, outcomes);
+  const auto& from = microseconds(seconds(1));
+  const auto through = Summarise(plan, outcomes, "through", from, kSpan);
+  const auto straight = Summarise(plan, outcomes, "straight", from, kSpan);
+  for (const auto& [label, quantile] :
+       {std::pair("p50", 0.5), std::pair("p99", 0.99)}) {
+    const auto a = Percentile(through.response_ms, quantile);
+    const auto b = Percentile(straight.response_ms, quantile);
+    PrintFigure(run.reporter, name + "_through_" + label, a, "ms");
+    PrintFigure(run.reporter, name + "_straight_" + label, b, "ms");
+    PrintFigure(run.reporter, name + "_added_" + label, a - b, "ms");
+  }
+  PrintFigure(run.reporter, name + "_pairs",
+              static_cast<double>(std::min(through.done, straight.done)),
+              "requests");
+  PrintFigure(run.reporter, name + "_not_done",
+              static_cast<double>(through.requests - through.done +
+                                  straight.requests - straight.done),
+              "requests");
+  PrintLoadAverage(run.reporter, name + "_load_average");
+}
+
+auto TotalProcessorTime(lab::Cluster& cluster) -> microseconds {
+  microseconds total{0};
+  for (const auto& it : cluster.Instances()) {
+    total += ProcessorTime(it.process->Pid());
+  }
+  return total;
+}
+
+auto EndpointStarts(lab::Cluster& cluster) -> int64_t {
+  int64_t starts = 0;
+  for (const auto& it : cluster.Endpoints()) {
+    starts += lab::Get(it.control, "/counters").Number("starts");
+  }
+  return starts;
+}
+
+// Keeps `open` requests open all the time, spread over all instances.
+auto MeasureThroughput(PathRun& run,
+                       const std::string& name,
+                       size_t requests,
+                       uint32_t tasks,
+                       size_t open) -> void {
+  constexpr milliseconds kTaskRun{2};
+  std::vector<PlannedRequest> plan;
+  for (size_t i = 0; i < requests; ++i) {
+    plan.push_back(Through(run, i % run.cluster.Instances().size(),
+                           DamageNote(kTaskRun, tasks), microseconds(0),
+                           "closed"));
+  }
+  LoadOptions options;
+  options.max_open = open;
+  const auto starts_before = EndpointStarts(run.cluster);
+  const auto busy_before = TotalProcessorTime(run.cluster);
+  const auto begin = BootClock::now();
+  const auto outcomes = RunLoad(plan, options);
+  const auto elapsed =
+      std::chrono::duration<double>(BootClock::now() - begin).count();
+  const auto busy = TotalProcessorTime(run.cluster) - busy_before;
+  const auto starts =
+      static_cast<double>(EndpointStarts(run.cluster) - starts_before);
+  ExplainFailures(plan, outcomes);
+  const auto report =
+      Summarise(plan, outcomes, "closed", microseconds(0), seconds(1));
+  PrintFigure(run.reporter, name + "_requests_rate",
+              static_cast<double>(report.done) / elapsed, "requests/s");
+  PrintFigure(run.reporter, name + "_starts_rate", starts / elapsed,
+              "starts/s");
+  PrintFigure(run.reporter, name + "_cpu_per_start",
+              static_cast<double>(busy.count()) / starts, "us");
+  PrintFigure(run.reporter, name + "_cores",
+              static_cast<double>(busy.count()) / 1e6 / elapsed, "cores");
+  PrintFigure(run.reporter, name + "_not_done",
+              static_cast<double>(report.requests - report.done), "requests");
+  PrintLoadAverage(run.reporter, name + "_load_average");
+}
+
+auto Megabytes(pid_t pid) -> double {
+  return static_cast<double>(ResidentBytes(pid)) / (1 << 20);
+}
+
+// Resident memory while jobs of 2,000 tasks wait and run.
+auto MeasureMemory(PathRun& run) -> void {
+  const auto pid = run.cluster.Instances()[0].process->Pid();
+  PrintFigure(run.reporter, "memory_idle", Megabytes(pid), "MB");
+  auto shape = DamageNote(milliseconds(100), 2000);
+  shape.partner = "insurers-huts";
+  shape.urgency_class = "history-checks";
+  shape.deadline = milliseconds(600000);
+  shape.run_hint = milliseconds(100);
+  const std::set<int> shown = {1, 3, 6, 9};
+  for (auto jobs = 1; jobs <= *shown.rbegin(); ++jobs) {
+    auto request = Through(run, 0, shape, microseconds(0), "memory");
+    request.target = "/v1/jobs?wait_ms=0";
+    const auto outcome = RunLoad({request}, LoadOptions()).front();
+    if (outcome.state != "active") {
+      ExplainFailures({request}, {outcome});
+    }
+    if (shown.contains(jobs)) {
+      std::this_thread::sleep_for(milliseconds(300));
+      PrintFigure(run.reporter,
+                  "memory_with_" + std::to_string(jobs) + "_jobs_of_2000",
+                  Megabytes(pid), "MB");
+    }
+  }
+}
+
+auto MakeCluster(int zones, int instances, int workers) -> lab::ClusterOptions {
+  const std::vector<std::string> names = {"tt-north-arima", "tt-north-tunapuna",
+                                          "tt-north-sangre"};
+  lab::ClusterOptions options;
+  options.deployment = "logbook";
+  options.service = "logbook";
+  options.zones.assign(names.begin(), names.begin() + zones);
+  options.instances_per_zone = instances;
+  options.workers_per_zone = workers;
+  options.slots = kSlots;
+  return options;
+}
+
+auto MeasureOne(const Reporter& reporter) -> void {
+  constexpr int kWorkers = 8;
+  constexpr milliseconds kTaskRun{20};
+  constexpr double kHalf =
+      kWorkers * kSlots * 1000.0 / kTaskRun.count() * 50 / kFullPercent;
+  lab::Cluster cluster(MakeCluster(1, 1, kWorkers));
+  PathRun run{.reporter = reporter,
+              .random = Random(reporter.seed),
+              .cluster = cluster};
+  const auto pid = cluster.Instances()[0].process->Pid();
+  PrintFigure(reporter, "memory_at_start", Megabytes(pid), "MB");
+  const auto before = ProcessorTime(pid);
+  std::this_thread::sleep_for(seconds(3));
+  PrintFigure(reporter, "idle_cpu",
+              static_cast<double>((ProcessorTime(pid) - before).count()) /
+                  seconds(3).count() / 1e4,
+              "% of a core");
+  MeasureAdded(run, "light", 0, kTaskRun);
+  MeasureAdded(run, "half", kHalf, kTaskRun);
+}
+
+auto MeasureOneFull(const Reporter& reporter) -> void {
+  lab::Cluster cluster(MakeCluster(1, 1, 16));
+  PathRun run{.reporter = reporter,
+              .random = Random(reporter.seed),
+              .cluster = cluster};
+  MeasureThroughput(run, "one_daemon_single", 20000, 1, 128);
+  MeasureThroughput(run, "one_daemon_jobs_of_20", 3000, 20, 32);
+}
+
+auto MeasureOneMemory(const Reporter& reporter) -> void {
+  lab::Cluster cluster(MakeCluster(1, 1, 8));
+  PathRun run{.reporter = reporter,
+              .random = Random(reporter.seed),
+              .cluster = cluster};
+  MeasureMemory(run);
+}
+
+auto MeasureEight(const Reporter& reporter) -> void {
+  lab::Cluster cluster(MakeCluster(2, 4, 16));
+  PathRun run{.reporter = reporter,
+              .random = Random(reporter.seed),
+              .cluster = cluster};
+  MeasureThroughput(run, "eight_daemons_single", 30000, 1, 256);
+  MeasureThroughput(run, "eight_daemons_jobs_of_20", 6000, 20, 64);
+}
+
+}  // namespace
+}  // namespace boragecroft::bench
+
+// Usage: boragecroft_path [SEED]
+auto main(int argc, char** argv) -> int {
+  using namespace boragecroft::bench;
+  Reporter reporter;
+  reporter.bench = "path";
+  reporter.seed = argc > 1 ? std::stoull(argv[1]) : kDefaultSeed;
+  reporter.command = "scripts/bench path " + std::to_string(reporter.seed);
+  PrintLoadAverage(reporter, "load_average_before");
+  MeasureOne(reporter);
+  MeasureOneFull(reporter);
+  MeasureOneMemory(reporter);
+  MeasureEight(reporter);
+  return 0;
+}
