--- a/servers/dispatcher/configuration_flow.cc
+++ b/servers/dispatcher/configuration_flow.cc
@@ -7,7 +7,6 @@
 #include "core/log/log.h"
 #include "servers/configuration/apply_attempt.h"
 #include "servers/configuration/configuration_row.h"
-#include "servers/configuration/configuration_update.h"
 #include "servers/dispatcher/record_flow.h"
 
 namespace boragecroft {
@@ -137,6 +136,15 @@
   }
 }
 
+auto HeardZone(const Step& step) -> std::vector<std::string> {
+  std::vector<std::string> names;
+  for (const auto* it :
+       ReachableZonePeers(step.dispatcher.membership, step.now.boot)) {
+    names.push_back(it->name);
+  }
+  return names;
+}
+
 struct OpenApply {
   uint64_t number = 0;
   ApplyAttempt attempt;
@@ -182,9 +190,12 @@
       reply.body = std::move(body);
       break;
     }
+    case ApplyOutcome::kInvalid:
+      ReplyInvalid(step, apply.number, apply.attempt.errors);
+      return;
     case ApplyOutcome::kNotApplied:
       reply.status = 503;
-      reply.body = ErrorBody("not_applied");
+      reply.body = ErrorBody("unavailable");
       break;
     case ApplyOutcome::kUndecided:
       reply.status = 503;
@@ -283,9 +294,14 @@
     AskZone(step);
   }
   if (step.now.boot >= dispatcher.next_configuration_poll) {
-    dispatcher.next_configuration_poll =
-        step.now.boot + dispatcher.settings.configuration_poll_interval;
-    Poll(step);
+    const auto interval = dispatcher.settings.configuration_poll_interval;
+    dispatcher.next_configuration_poll = step.now.boot + interval;
+    // An instance that may not serve yet reads each time; others take turns.
+    if (!ReadyToServe(dispatcher.configuration, step.now) ||
+        IsPollTurn(dispatcher.settings.instance, HeardZone(step), interval,
+                   step.now)) {
+      Poll(step);
+    }
     if (VersionInForce(dispatcher.configuration) == 0) {
       AskZone(step);
     }
@@ -335,17 +351,12 @@
 
 auto OnApplyConfiguration(Step& step, uint64_t number, ApplyConfiguration apply)
     -> void {
-  auto prepared = PrepareUpdate(InForce(step.dispatcher), apply.document);
-  if (prepared.has_error()) {
-    ReplyInvalid(step, number, prepared.error());
-    return;
-  }
   auto open = std::make_shared<OpenApply>();
   open->number = number;
   open->expires = step.now.boot + kApplyTimeout;
-  open->attempt = BeginApply(static_cast<int64_t>(apply.expected_version),
-                             std::move(apply.operation_id),
-                             ToJson(prepared.value(), kCurrentSchemaVersion));
+  open->attempt =
+      BeginApply(static_cast<int64_t>(apply.expected_version),
+                 std::move(apply.operation_id), std::move(apply.document));
   ContinueApply(step, open);
 }
 
