--- a/servers/dispatcher/configuration_flow.cc
+++ b/servers/dispatcher/configuration_flow.cc
@@ -201,9 +201,6 @@
       reply.status = 503;
       reply.body = ErrorBody("undecided");
       break;
-    case ApplyOutcome::kInvalid:
-      ReplyInvalid(step, apply.number, apply.attempt.errors);
-      return;
   }
   step.out.operators.push_back(std::move(reply));
 }
