--- /dev/null
+++ b/bench/capacity/main.cc
@@ -0,0 +1,460 @@
+// Slopes of the pure decisions at the design size: 590 workers in 6 zones, 16
+// instances a zone, 27 teams, jobs of 2,000 tasks. Starts no process.
+#include <boost/json/serialize.hpp>
+#include <memory>
+
+#include "bench/capacity/measure.h"
+#include "core/base/random.h"
+#include "peers/instance/instance_codec.h"
+#include "servers/admission/queue_state.h"
+#include "servers/dispatcher/dispatcher.h"
+#include "servers/dispatcher/operator_flow.h"
+#include "servers/fleet/pick.h"
+#include "servers/quota/team_quota.h"
+
+namespace boragecroft::bench {
+namespace {
+
+constexpr size_t kTeams = 27;
+constexpr size_t kZones = 6;
+constexpr size_t kZoneInstances = 16;
+constexpr size_t kZoneWorkers = 98;
+constexpr uint32_t kJobTasks = 2000;
+const Now kNow{.boot = Instant(seconds(1000)),
+               .wall = WallTime(seconds(2000000000))};
+constexpr Incarnation kSelf{7};
+
+auto Numbered(const std::string& name, size_t number) -> std::string {
+  return name + "-" + std::to_string(number);
+}
+
+auto IdOf(uint64_t sequence) -> JobId {
+  return JobId{.incarnation = kSelf, .sequence = sequence, .minted = kNow.wall};
+}
+
+auto WorkersOf(size_t count) -> WorkerList {
+  WorkerList list;
+  list.as_of = kNow.wall;
+  for (size_t i = 0; i < count; ++i) {
+    ListedWorker worker;
+    worker.service = "letters";
+    worker.name = Numbered("zone-a-letters-worker", i);
+    worker.address =
+        Address{.ip = "10.20.30.40", .port = static_cast<uint16_t>(10000 + i)};
+    worker.incarnation = Numbered("incarnation", i);
+    list.workers.push_back(std::move(worker));
+  }
+  return list;
+}
+
+auto DemandsOf(size_t instances) -> std::vector<InstanceDemand> {
+  std::vector<InstanceDemand> demands;
+  for (size_t i = 0; i < instances; ++i) {
+    demands.push_back({.instance = Numbered("zone-a-instance", i),
+                       .slots = static_cast<uint32_t>(20 + i * 7 % 50)});
+  }
+  return demands;
+}
+
+auto FleetOf(size_t workers) -> Fleet {
+  Fleet fleet;
+  ApplyWorkerList(fleet, WorkersOf(workers), kNow);
+  return fleet;
+}
+
+auto QueueOfClasses() -> TaskQueue {
+  TaskQueue queue;
+  Configure(queue, {{"urgent", 25}, {"middle", 30}, {"low", 20}, {"bulk", 10}},
+            QueueOrder::kFair);
+  return queue;
+}
+
+auto EntryOf(uint64_t number, uint32_t tasks) -> QueueEntry {
+  QueueEntry entry;
+  entry.job = IdOf(number);
+  entry.class_index = static_cast<uint32_t>(number % 4);
+  entry.partner = Numbered("partner", number % kTeams);
+  entry.task_count = tasks;
+  entry.deadline = kNow.boot + seconds(600) + milliseconds(number);
+  entry.run_time = milliseconds(100);
+  return entry;
+}
+
+auto TeamTasksOf() -> std::vector<TeamTasks> {
+  std::vector<TeamTasks> list;
+  for (size_t i = 0; i < kTeams; ++i) {
+    list.push_back({.team = Numbered("team-of-operators", i),
+                    .tasks = static_cast<uint32_t>(300 + i * 13)});
+  }
+  return list;
+}
+
+auto DemandListOf(size_t teams) -> std::vector<Demand> {
+  std::vector<Demand> list;
+  for (size_t i = 0; i < teams; ++i) {
+    list.push_back({.name = Numbered("team-of-operators", i),
+                    .tasks = static_cast<uint32_t>(300 + i * 13)});
+  }
+  return list;
+}
+
+auto HeartbeatOf(size_t teams) -> PeerMessage {
+  Heartbeat heartbeat;
+  heartbeat.instance = "zone-a-instance-3";
+  heartbeat.zone = "region-north-zone-a";
+  heartbeat.address = Address{.ip = "10.20.30.40", .port = 8081};
+  heartbeat.sequence = 1234567;
+  heartbeat.configuration_version = 4321;
+  heartbeat.service_demands = {{.name = "letters", .tasks = 133}};
+  heartbeat.team_demands = DemandListOf(teams);
+  heartbeat.echo_incarnation = Incarnation{0x1234567890ABCDEF};
+  heartbeat.echo_sequence = 1234566;
+  PeerMessage message;
+  message.from = Incarnation{0xFEDCBA0987654321};
+  message.body = std::move(heartbeat);
+  return message;
+}
+
+auto SubmissionOf(uint64_t number, uint32_t tasks)
+    -> std::shared_ptr<Submission> {
+  auto submission = std::make_shared<Submission>();
+  submission->id = IdOf(number);
+  submission->partner = Numbered("partner", number % kTeams);
+  submission->team = Numbered("team-of-operators", number % kTeams);
+  submission->service = "letters";
+  submission->kind = "reminder";
+  submission->urgency_class = "bulk";
+  submission->deadline = seconds(600);
+  for (uint32_t i = 0; i < tasks; ++i) {
+    submission->payloads.push_back(R"({"template":"reminder","account":)" +
+                                   std::to_string(10000000 + i) + "}");
+  }
+  return submission;
+}
+
+auto JobOf(uint64_t number, uint32_t tasks) -> Job {
+  Job job;
+  job.submission = SubmissionOf(number, tasks);
+  job.accepted = kNow.boot;
+  job.deadline = kNow.boot + seconds(600);
+  job.tasks.assign(tasks, TaskState::kDone);
+  job.open_tasks = tasks;
+  for (uint32_t i = 0; i < tasks; ++i) {
+    job.results.push_back(R"({"letter":"L-)" + std::to_string(10000000 + i) +
+                          "\"}");
+  }
+  return job;
+}
+
+auto MeasureIds(const Reporter& reporter) -> void {
+  std::vector<SizePoint> points;
+  for (const size_t batches : {1000, 4000, 16000}) {
+    auto mint = std::make_unique<IdMint>();
+    mint->incarnation = kSelf;
+    mint->started = kNow;
+    mint->term = seconds(3600);
+    mint->retention = seconds(3600);
+    const auto heap = HeapOf([&] {
+      for (size_t i = 0; i < batches; ++i) {
+        const auto id = Mint(*mint, "partner-of-some-name", 100, kNow);
+        static_cast<void>(MarkUsed(*mint, id, kNow));
+      }
+    });
+    points.push_back({static_cast<double>(batches), heap});
+  }
+  PrintSlope(reporter, "id_batch_memory", points, "bytes");
+}
+
+auto MeasureQueue(const Reporter& reporter) -> void {
+  std::vector<SizePoint> memory;
+  std::vector<SizePoint> times;
+  for (const size_t jobs : {1000, 4000, 16000}) {
+    auto queue = QueueOfClasses();
+    memory.push_back({static_cast<double>(jobs), HeapOf([&] {
+                        for (size_t i = 0; i < jobs; ++i) {
+                          Enqueue(queue, EntryOf(i, 20));
+                        }
+                      })});
+    times.push_back({static_cast<double>(jobs), TimeOf(2000, [&] {
+                       const auto task = PopTask(queue, kNow.boot);
+                       Finish(queue, *task, milliseconds(90));
+                     })});
+  }
+  PrintSlope(reporter, "queued_job_memory", memory, "bytes");
+  PrintSlope(reporter, "pop_finish_time", times, "us");
+}
+
+auto MeasureJobs(const Reporter& reporter) -> void {
+  std::vector<SizePoint> points;
+  for (const size_t count : {10, 50, 200}) {
+    std::unordered_map<JobId, Job> jobs;
+    points.push_back({static_cast<double>(count), HeapOf([&] {
+                        for (size_t i = 0; i < count; ++i) {
+                          jobs.emplace(IdOf(i), JobOf(i, kJobTasks));
+                        }
+                      })});
+  }
+  PrintSlope(reporter, "job_of_2000_memory", points, "bytes");
+}
+
+auto MeasureFleet(const Reporter& reporter) -> void {
+  std::vector<SizePoint> memory;
+  std::vector<SizePoint> picks;
+  std::vector<SizePoint> lists;
+  for (const size_t workers : {16, 98, 590}) {
+    Fleet fleet;
+    memory.push_back({static_cast<double>(workers), HeapOf([&] {
+                        ApplyWorkerList(fleet, WorkersOf(workers), kNow);
+                      })});
+    AllotSlots(fleet, "letters", DemandsOf(kZoneInstances),
+               "zone-a-instance-3");
+    Random random(reporter.seed);
+    PickRequest request;
+    request.service = "letters";
+    picks.push_back({static_cast<double>(workers), TimeOf(2000, [&] {
+                       const auto index = PickWorker(
+                           fleet, request, DispatchPolicy::kFair, random, kNow);
+                       if (index) {
+                         const auto ticket = OnStart(fleet, *index, {});
+                         OnAnswer(fleet, ticket, EndpointAnswer::kRan, kNow);
+                       }
+                     })});
+    const auto list = WorkersOf(workers);
+    lists.push_back({static_cast<double>(workers),
+                     TimeOf(20, [&] { ApplyWorkerList(fleet, list, kNow); })});
+  }
+  PrintSlope(reporter, "worker_memory", memory, "bytes");
+  PrintSlope(reporter, "pick_start_answer_time", picks, "us");
+  PrintSlope(reporter, "apply_list_time", lists, "us");
+}
+
+auto MeasureAllotment(const Reporter& reporter) -> void {
+  for (const size_t instances : {3, 16}) {
+    std::vector<SizePoint> points;
+    for (const size_t workers : {16, 50, 98}) {
+      auto fleet = FleetOf(workers);
+      const auto demands = DemandsOf(instances);
+      points.push_back({static_cast<double>(workers), TimeOf(10, [&] {
+                          AllotSlots(fleet, "letters", demands,
+                                     "zone-a-instance-1");
+                        })});
+    }
+    PrintSlope(reporter,
+               "allot_slots_" + std::to_string(instances) + "_instances",
+               points, "us");
+  }
+}
+
+auto MeasureAdmission(const Reporter& reporter) -> void {
+  std::vector<SizePoint> points;
+  for (const size_t jobs : {100, 1000, 10000}) {
+    auto queue = QueueOfClasses();
+    for (size_t i = 0; i < jobs; ++i) {
+      Enqueue(queue, EntryOf(i, 20));
+    }
+    SlotLoads loads;
+    MeasureLoads(loads, queue, 64, kNow.boot);
+    points.push_back({static_cast<double>(jobs), TimeOf(5000, [&] {
+                        AdmissionInput input;
+                        input.task_count = 20;
+                        input.deadline = seconds(5);
+                        input.run_time.expected = milliseconds(100);
+                        input.slots = 64;
+                        input.max_queued_tasks = 40000;
+                        DescribeQueue(queue, loads, 1, "partner-5", input);
+                        static_cast<void>(Admit(input));
+                      })});
+  }
+  PrintSlope(reporter, "admission_time", points, "us");
+}
+
+auto MeasureHeartbeats(const Reporter& reporter) -> void {
+  std::vector<SizePoint> bytes;
+  std::vector<SizePoint> times;
+  for (const size_t teams : {0, 9, 27}) {
+    const auto message = HeartbeatOf(teams);
+    const auto n = static_cast<double>(teams);
+    bytes.push_back(
+        {n, static_cast<double>(EncodePeerMessage(message).size())});
+    times.push_back({n, TimeOf(1000, [&] {
+                       static_cast<void>(
+                           DecodePeerMessage(EncodePeerMessage(message)));
+                     })});
+  }
+  PrintSlope(reporter, "heartbeat_bytes_by_teams", bytes, "bytes");
+  PrintSlope(reporter, "heartbeat_encode_decode_by_teams", times, "us");
+}
+
+auto ListedInstances(size_t count) -> std::vector<PlatformInstance> {
+  std::vector<PlatformInstance> list;
+  for (size_t i = 0; i < count; ++i) {
+    list.push_back({.name = Numbered("zone-instance", i),
+                    .zone = Numbered("region-north-zone", i % kZones),
+                    .address = Address{.ip = "10.20.30.40",
+                                       .port = static_cast<uint16_t>(1000 + i)},
+                    .leaving = false});
+  }
+  return list;
+}
+
+auto MeasurePeers(const Reporter& reporter) -> void {
+  std::vector<SizePoint> memory;
+  for (const size_t count : {16, 48, 98}) {
+    Membership membership;
+    membership.name = "zone-instance-0";
+    membership.zone = "region-north-zone-0";
+    membership.address = Address{.ip = "10.20.30.40", .port = 1000};
+    membership.self = kSelf;
+    const auto list = ListedInstances(count);
+    memory.push_back({static_cast<double>(count), HeapOf([&] {
+                        ApplyInstanceList(membership, list, kNow.boot);
+                        for (auto& it : membership.peers) {
+                          it.team_demands = DemandListOf(kTeams);
+                          it.service_demands = DemandListOf(2);
+                        }
+                      })});
+  }
+  PrintSlope(reporter, "peer_memory", memory, "bytes");
+}
+
+auto QuotaOf(size_t instances) -> QuotaState {
+  QuotaState state;
+  Members members;
+  for (size_t i = 0; i < instances; ++i) {
+    members.push_back(Incarnation{100 + i});
+  }
+  state.roster.self = members[0];
+  state.roster.proposed = members;
+  state.roster.promised = {members};
+  state.roster.agreed = true;
+  state.own_demands = TeamTasksOf();
+  for (size_t i = 1; i < instances; ++i) {
+    state.peer_demands.push_back({.peer = members[i],
+                                  .demands = TeamTasksOf(),
+                                  .claims = true,
+                                  .received = kNow.boot});
+  }
+  return state;
+}
+
+auto MeasureQuotas(const Reporter& reporter) -> void {
+  QuotaPlan plan;
+  plan.quotas = TeamTasksOf();
+  plan.zone_weights.assign(kZones, 1);
+  std::vector<SizePoint> shares;
+  std::vector<SizePoint> reports;
+  for (const size_t instances : {3, 8, 16}) {
+    auto state = QuotaOf(instances);
+    const auto n = static_cast<double>(instances);
+    shares.push_back({n, TimeOf(50, [&] {
+                        static_cast<void>(
+                            AllocateQuota(plan, state, kNow.boot));
+                      })});
+    reports.push_back({n, TimeOf(50, [&] {
+                         static_cast<void>(
+                             MakeReports(plan, {}, state, kNow.boot));
+                       })});
+  }
+  PrintSlope(reporter, "quota_shares_27_teams_by_instances", shares, "us");
+  PrintSlope(reporter, "quota_reports_27_teams_by_instances", reports, "us");
+}
+
+auto FinalOf(uint64_t number, uint32_t tasks) -> FinalEntry {
+  FinalEntry entry;
+  entry.job = IdOf(number);
+  entry.partner = Numbered("partner", number % kTeams);
+  entry.team = Numbered("team-of-operators", number % kTeams);
+  entry.service = "letters";
+  entry.urgency_class = "bulk";
+  entry.state = JobState::kDone;
+  entry.tasks = {{.state = TaskState::kDone, .count = tasks}};
+  for (uint32_t i = 0; i < tasks; ++i) {
+    entry.results.push_back(R"({"letter":"L-)" + std::to_string(10000000 + i) +
+                            "\"}");
+  }
+  entry.finished = kNow.wall;
+  return entry;
+}
+
+auto MeasureLedger(const Reporter& reporter) -> void {
+  std::vector<SizePoint> memory;
+  std::vector<SizePoint> times;
+  for (const size_t entries : {500, 2000, 8000}) {
+    LedgerSettings settings;
+    settings.max_pending_bytes = size_t{1} << 30U;
+    auto writer = MakeLedgerWriter(settings, {.incarnation = kSelf}, kNow);
+    uint64_t number = 0;
+    const auto begin = ThreadTime();
+    memory.push_back({static_cast<double>(entries), HeapOf([&] {
+                        for (size_t i = 0; i < entries; ++i) {
+                          Add(writer, FinalOf(number++, 1), Urgency::kNormal,
+                              kNow);
+                        }
+                      })});
+    times.push_back({static_cast<double>(entries),
+                     (ThreadTime() - begin) / static_cast<double>(entries)});
+  }
+  PrintSlope(reporter, "ledger_entry_memory", memory, "bytes");
+  PrintSlope(reporter, "ledger_entry_time", times, "us");
+  std::vector<SizePoint> by_tasks;
+  for (const uint32_t tasks : {1U, 200U, 2000U}) {
+    LedgerSettings settings;
+    settings.max_pending_bytes = size_t{1} << 30U;
+    auto writer = MakeLedgerWriter(settings, {.incarnation = kSelf}, kNow);
+    const auto entry = FinalOf(1, tasks);
+    by_tasks.push_back({static_cast<double>(tasks), TimeOf(20, [&] {
+                          Add(writer, entry, Urgency::kNormal, kNow);
+                        })});
+  }
+  PrintSlope(reporter, "ledger_final_time_by_tasks", by_tasks, "us");
+}
+
+auto MeasureDump(const Reporter& reporter) -> void {
+  std::vector<SizePoint> times;
+  std::vector<SizePoint> bytes;
+  for (const size_t jobs : {10, 50, 200}) {
+    auto dispatcher = MakeDispatcher({}, kSelf, reporter.seed, kNow);
+    dispatcher->fleet = FleetOf(kZoneWorkers);
+    ApplyInstanceList(dispatcher->membership, ListedInstances(98), kNow.boot);
+    for (size_t i = 0; i < jobs; ++i) {
+      dispatcher->jobs.emplace(IdOf(i), JobOf(i, kJobTasks));
+      dispatcher->deadlines.emplace(kNow.boot + seconds(600), IdOf(i));
+    }
+    const auto n = static_cast<double>(jobs);
+    times.push_back(
+        {n, TimeOf(10, [&] { static_cast<void>(DumpOf(*dispatcher, kNow)); })});
+    bytes.push_back(
+        {n, static_cast<double>(
+                boost::json::serialize(DumpOf(*dispatcher, kNow)).size())});
+  }
+  PrintSlope(reporter, "dump_time_by_jobs_of_2000", times, "us");
+  PrintSlope(reporter, "dump_bytes_by_jobs", bytes, "bytes");
+}
+
+auto MeasureAll(const Reporter& reporter) -> void {
+  PrintLoadAverage(reporter, "load_average_before");
+  MeasureIds(reporter);
+  MeasureQueue(reporter);
+  MeasureJobs(reporter);
+  MeasurePeers(reporter);
+  MeasureFleet(reporter);
+  MeasureAllotment(reporter);
+  MeasureAdmission(reporter);
+  MeasureHeartbeats(reporter);
+  MeasureQuotas(reporter);
+  MeasureLedger(reporter);
+  MeasureDump(reporter);
+}
+
+}  // namespace
+}  // namespace boragecroft::bench
+
+// Usage: boragecroft_capacity [SEED]
+auto main(int argc, char** argv) -> int {
+  boragecroft::bench::Reporter reporter;
+  reporter.bench = "capacity";
+  reporter.seed = argc > 1 ? std::stoull(argv[1]) : 20261204;
+  reporter.command = "scripts/bench capacity " + std::to_string(reporter.seed);
+  boragecroft::bench::MeasureAll(reporter);
+  return 0;
+}
--- /dev/null
+++ b/bench/scenarios/fleet_run.cc
@@ -0,0 +1,180 @@
+#include "bench/scenarios/fleet_run.h"
+
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+
+namespace boragecroft::bench {
+namespace {
+
+// The deployment's declarations with another policy, in a file of its own.
+auto WriteDeclarations(const Deployment& deployment, const std::string& policy)
+    -> std::string {
+  std::ifstream in(std::string(BORAGECROFT_DEPLOY) + "/" + deployment.name +
+                   "/declarations.jsonc");
+  std::stringstream text;
+  text << in.rdbuf();
+  auto declarations = text.str();
+  const std::string found = "\"policy\": \"fair\"";
+  const auto at = declarations.find(found);
+  if (at == std::string::npos) {
+    throw std::runtime_error("the declarations name no policy");
+  }
+  declarations.replace(at, found.size(), "\"policy\": \"" + policy + "\"");
+  const auto path =
+      (std::filesystem::temp_directory_path() /
+       ("boragecroft-declarations-" + std::to_string(getpid()) + ".jsonc"))
+          .string();
+  std::ofstream(path) << declarations;
+  return path;
+}
+
+// Response time beyond the run time of a task that is sent straight to an idle
+// endpoint: both network legs and the endpoint's own work.
+auto MeasureLeg(lab::Cluster& cluster, const Deployment& deployment)
+    -> microseconds {
+  constexpr int kTries = 60;
+  constexpr milliseconds kRun{20};
+  const auto& worker = cluster.Endpoints()[0].listed[0].as_object();
+  std::vector<PlannedRequest> plan;
+  for (auto i = 0; i < kTries; ++i) {
+    PlannedRequest request;
+    request.at = kRun * 2 * i;
+    request.server =
+        ParseAddress(worker.at("address").as_string().c_str()).value();
+    request.target = "/v1/tasks";
+    request.body = R"({"schema_version":1,"task":"leg-)" + std::to_string(i) +
+                   R"(/0","service":")" + deployment.service +
+                   R"(","kind":"leg","lease_ms":5000,"payload":{"run_ms":)" +
+                   std::to_string(kRun.count()) + "}}";
+    plan.push_back(std::move(request));
+  }
+  std::vector<double> legs;
+  for (const auto& it : RunLoad(plan, LoadOptions())) {
+    legs.push_back(static_cast<double>((it.ended - it.sent - kRun).count()));
+  }
+  return microseconds(static_cast<int64_t>(Percentile(legs, 0.5)));
+}
+
+}  // namespace
+
+auto StartFleet(const Deployment& deployment,
+                const std::string& policy,
+                uint64_t seed,
+                int instances) -> std::unique_ptr<FleetRun> {
+  auto run = std::make_unique<FleetRun>();
+  run->deployment = deployment;
+  run->policy = policy;
+  run->random = Random(seed);
+  lab::ClusterOptions options;
+  options.deployment = deployment.name;
+  options.service = deployment.service;
+  options.zones = {deployment.zone};
+  options.instances_per_zone = instances;
+  options.workers_per_zone = kWorkers;
+  options.slots = kSlotsPerWorker;
+  options.declarations_file = WriteDeclarations(deployment, policy);
+  run->cluster = std::make_unique<lab::Cluster>(options);
+  std::filesystem::remove(options.declarations_file);
+  run->leg = MeasureLeg(*run->cluster, deployment);
+  return run;
+}
+
+auto CountFleet(FleetRun& run) -> FleetCounts {
+  FleetCounts counts;
+  for (const auto& it : run.cluster->Instances()) {
+    const auto dump = lab::Get(it.operators, "/v1/dump");
+    const auto* body = dump.body.if_object();
+    if (body == nullptr) {
+      continue;  // it was stopped
+    }
+    const auto& counters = body->at("counters").as_object();
+    const auto number = [&](std::string_view name) {
+      return counters.at(name).to_number<double>();
+    };
+    counts.useful += number("attempts_done") + number("attempts_failed");
+    counts.wasted += number("attempts_busy") + number("attempts_draining") +
+                     number("attempts_not_sent") + number("queries_sent") +
+                     number("attempts_extra");
+    counts.put_aside += number("workers_put_aside");
+  }
+  for (const auto& it : run.cluster->Endpoints()) {
+    const auto reply = lab::Get(it.control, "/counters");
+    counts.starts += static_cast<double>(reply.Number("starts"));
+    for (const auto& worker : reply.body.at("workers").as_array()) {
+      counts.worker_starts.push_back(worker.at("starts").to_number<double>());
+    }
+  }
+  return counts;
+}
+
+auto RunStreams(FleetRun& run,
+                const std::vector<Stream>& streams,
+                const std::vector<Balance>& balances,
+                const std::vector<TimedAction>& actions,
+                const std::vector<PlannedRequest>& extra) -> LoadResult {
+  PlanContext context{.random = run.random, .ids = run.ids};
+  for (const auto& it : run.cluster->Instances()) {
+    context.servers.push_back(it.callers);
+  }
+  context.balances = balances;
+  context.leg = run.leg;
+  LoadResult result;
+  result.plan = extra;
+  for (const auto& it : streams) {
+    AddStream(context, it, result.plan);
+  }
+  SortPlan(result.plan);
+  result.before = CountFleet(run);
+  result.outcomes = RunLoad(result.plan, LoadOptions(), actions);
+  result.load_average = LoadAverage();
+  result.after = CountFleet(run);
+  ExplainFailures(result.plan, result.outcomes);
+  return result;
+}
+
+auto PrintStream(const Reporter& reporter,
+                 const std::string& prefix,
+                 const LoadResult& result,
+                 const std::string& stream,
+                 microseconds from,
+                 microseconds to) -> StreamReport {
+  auto report = Summarise(result.plan, result.outcomes, stream, from, to);
+  const auto name = prefix + "." + stream + ".";
+  const auto requests = static_cast<double>(report.requests);
+  PrintFigure(reporter, name + "ratio_p50", Percentile(report.ratios, 0.5),
+              "x ideal");
+  PrintFigure(reporter, name + "ratio_p99", Percentile(report.ratios, 0.99),
+              "x ideal");
+  PrintFigure(reporter, name + "ratio_p999", Percentile(report.ratios, 0.999),
+              "x ideal");
+  PrintFigure(reporter, name + "requests", requests, "requests");
+  PrintFigure(reporter, name + "done", static_cast<double>(report.done),
+              "requests");
+  PrintFigure(reporter, name + "refused", static_cast<double>(report.refused),
+              "requests");
+  PrintFigure(reporter, name + "failed_or_unanswered",
+              static_cast<double>(report.failed + report.other), "requests");
+  PrintFigure(reporter, name + "deadline_hits",
+              requests == 0
+                  ? 0
+                  : 100 * static_cast<double>(report.deadline_hits) / requests,
+              "%");
+  return report;
+}
+
+auto PrintWaste(const Reporter& reporter,
+                const std::string& prefix,
+                const LoadResult& result) -> void {
+  const auto useful = result.after.useful - result.before.useful;
+  const auto wasted = result.after.wasted - result.before.wasted;
+  PrintFigure(reporter, prefix + ".wasted_per_useful",
+              useful > 0 ? wasted / useful : 0, "messages");
+  PrintFigure(reporter, prefix + ".load_average", result.load_average,
+              "runnable");
+}
+
+}  // namespace boragecroft::bench
--- /dev/null
+++ b/bench/scenarios/fleet_run.h
@@ -0,0 +1,79 @@
+// One fleet of real daemons under one policy, and what a load on it gave.
+#ifndef BENCH_SCENARIOS_FLEET_RUN_H_
+#define BENCH_SCENARIOS_FLEET_RUN_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "bench/load/report.h"
+#include "bench/scenarios/streams.h"
+#include "tests/lab/cluster.h"
+
+namespace boragecroft::bench {
+
+inline constexpr int kWorkers = 8;
+inline constexpr int kSlotsPerWorker = 8;
+inline constexpr uint32_t kFleetSlots = kWorkers * kSlotsPerWorker;
+inline constexpr seconds kWarmUp{3};
+inline constexpr seconds kRunLength{11};  // the warm-up included
+
+// What the daemons and endpoints counted, added up.
+struct FleetCounts {
+  double useful = 0;  // attempts that ran
+  double wasted = 0;  // busy and other refused attempts, queries, duplicates
+  double put_aside = 0;
+  double starts = 0;
+  std::vector<double> worker_starts;
+};
+
+struct FleetRun {
+  Deployment deployment;
+  std::string policy;
+  std::unique_ptr<lab::Cluster> cluster;
+  Random random;
+  IdSource ids;
+  microseconds leg{};
+};
+
+// Starts a fleet whose declarations name the policy. The random numbers depend
+// on the seed only, so that each policy gets the same load.
+auto StartFleet(const Deployment& deployment,
+                const std::string& policy,
+                uint64_t seed,
+                int instances = 3) -> std::unique_ptr<FleetRun>;
+
+struct LoadResult {
+  std::vector<PlannedRequest> plan;
+  std::vector<RequestOutcome> outcomes;
+  FleetCounts before;
+  FleetCounts after;
+  double load_average = 0;
+};
+
+auto CountFleet(FleetRun& run) -> FleetCounts;
+
+// Runs the streams; `extra` requests are added to the plan as they stand.
+auto RunStreams(FleetRun& run,
+                const std::vector<Stream>& streams,
+                const std::vector<Balance>& balances = {},
+                const std::vector<TimedAction>& actions = {},
+                const std::vector<PlannedRequest>& extra = {}) -> LoadResult;
+
+// Prints ratio, refusals, deadline hits and throughput of a stream between two
+// times.
+auto PrintStream(const Reporter& reporter,
+                 const std::string& prefix,
+                 const LoadResult& result,
+                 const std::string& stream,
+                 microseconds from = kWarmUp,
+                 microseconds to = kRunLength) -> StreamReport;
+// Prints wasted messages per useful one and the load average.
+auto PrintWaste(const Reporter& reporter,
+                const std::string& prefix,
+                const LoadResult& result) -> void;
+
+}  // namespace boragecroft::bench
+
+#endif  // BENCH_SCENARIOS_FLEET_RUN_H_
--- /dev/null
+++ b/bench/scenarios/load_scenarios.cc
@@ -0,0 +1,250 @@
+// Scenarios of load alone: steady, floods, balance, cost of refusals, cold
+// start.
+#include <algorithm>
+#include <thread>
+
+#include "bench/scenarios/fleet_run.h"
+#include "bench/scenarios/scenarios.h"
+
+namespace boragecroft::bench {
+namespace {
+
+constexpr double kFloodFactor = 10;
+// Below the floors of the classes, with less than half of the fleet in all: so
+// every stream could keep everything.
+constexpr Mix kMixInFloors{.urgent = 0.10, .middle = 0.30, .bulk = 0.08};
+
+auto Evenly(double share) -> Mix {
+  return Mix{.urgent = share * 0.3, .middle = share * 0.4, .bulk = share * 0.3};
+}
+
+auto Prefix(const ScenarioContext& context, const std::string& name)
+    -> std::string {
+  return name + "." + context.policy;
+}
+
+auto PrintAll(const ScenarioContext& context,
+              const std::string& prefix,
+              const LoadResult& result) -> void {
+  for (const auto* it : {"urgent", "middle", "bulk"}) {
+    PrintStream(context.reporter, prefix, result, it);
+  }
+  PrintWaste(context.reporter, prefix, result);
+}
+
+auto Steady(const ScenarioContext& context,
+            const Deployment& deployment,
+            double share) -> void {
+  const auto run = StartFleet(deployment, context.policy, context.seed);
+  const auto result = RunStreams(
+      *run, OrdinaryLoad(deployment, Evenly(share), kFleetSlots, kRunLength));
+  const auto percent = std::to_string(static_cast<int>(share * 100 + 0.5));
+  const auto prefix =
+      Prefix(context, "steady" + percent + "_" + deployment.name);
+  PrintFigure(context.reporter, prefix + ".leg",
+              static_cast<double>(run->leg.count()), "us");
+  PrintAll(context, prefix, result);
+}
+
+template <int kPercent>
+auto SteadyLogbook(const ScenarioContext& context) -> void {
+  Steady(context, Logbook(), kPercent / 100.0);
+}
+
+template <int kPercent>
+auto SteadyCartas(const ScenarioContext& context) -> void {
+  Steady(context, Cartas(), kPercent / 100.0);
+}
+
+auto FloodOf(const Deployment& deployment, bool urgent) -> Stream {
+  auto streams = OrdinaryLoad(deployment,
+                              Mix{.urgent = urgent ? kFloodFactor : 0,
+                                  .middle = 0,
+                                  .bulk = urgent ? 0 : kFloodFactor},
+                              kFleetSlots, kRunLength);
+  auto flood = urgent ? streams[0] : streams[2];
+  flood.name = "flood";
+  flood.from = seconds(2);
+  flood.wait = false;
+  if (urgent) {
+    constexpr uint32_t kTasks = 5;
+    flood.shape.partner = deployment.flooding_urgent_partner;
+    flood.shape.tasks = kTasks;
+    flood.jobs_per_second /= kTasks;
+  } else {
+    flood.shape.partner = deployment.flooding_bulk_partner;
+  }
+  return flood;
+}
+
+// What the ordinary streams keep in a flood, against the same load without.
+auto PrintKept(const ScenarioContext& context,
+               const std::string& prefix,
+               const LoadResult& without,
+               const LoadResult& with) -> void {
+  for (const auto* it : {"urgent", "middle", "bulk"}) {
+    const auto a =
+        PrintStream(context.reporter, prefix + ".without", without, it);
+    const auto b = PrintStream(context.reporter, prefix + ".with", with, it);
+    // The two runs drew different numbers of jobs: the shares are compared.
+    const auto share = [](uint64_t part, uint64_t whole) {
+      return whole == 0
+                 ? 0
+                 : static_cast<double>(part) / static_cast<double>(whole);
+    };
+    PrintFigure(context.reporter, prefix + "." + it + ".throughput_kept",
+                100 * share(b.done, b.requests) / share(a.done, a.requests),
+                "%");
+    PrintFigure(context.reporter, prefix + "." + it + ".deadline_hits_kept",
+                100 * share(b.deadline_hits, b.requests) /
+                    share(a.deadline_hits, a.requests),
+                "%");
+  }
+  PrintStream(context.reporter, prefix + ".with", with, "flood");
+  PrintWaste(context.reporter, prefix + ".with", with);
+}
+
+auto Flood(const ScenarioContext& context,
+           const std::string& name,
+           const Mix& mix,
+           const std::vector<Stream>& flood) -> void {
+  const auto deployment = Cartas();
+  const auto run = StartFleet(deployment, context.policy, context.seed);
+  auto streams = OrdinaryLoad(deployment, mix, kFleetSlots, kRunLength);
+  const auto without = RunStreams(*run, streams);
+  streams.insert(streams.end(), flood.begin(), flood.end());
+  const auto with = RunStreams(*run, streams);
+  PrintKept(context, Prefix(context, name), without, with);
+}
+
+auto FloodLeastUrgent(const ScenarioContext& context) -> void {
+  Flood(context, "flood_least_urgent", kMixInFloors,
+        {FloodOf(Cartas(), false)});
+}
+
+auto FloodMostUrgent(const ScenarioContext& context) -> void {
+  Flood(context, "flood_most_urgent", kMixInFloors, {FloodOf(Cartas(), true)});
+}
+
+// One partner floods every class.
+auto FloodOnePartner(const ScenarioContext& context) -> void {
+  auto flood =
+      OrdinaryLoad(Cartas(), Evenly(kFloodFactor), kFleetSlots, kRunLength);
+  for (auto& it : flood) {
+    it.name = "flood";
+    it.from = seconds(2);
+    it.wait = false;
+    it.shape.partner = "electra-bilbao";
+  }
+  Flood(context, "flood_one_partner", kMixInFloors, flood);
+}
+
+// All load goes to one of three instances.
+auto UnevenBalancer(const ScenarioContext& context) -> void {
+  const auto deployment = Logbook();
+  const auto run = StartFleet(deployment, context.policy, context.seed);
+  const auto result = RunStreams(
+      *run, OrdinaryLoad(deployment, Evenly(0.8), kFleetSlots, kRunLength),
+      {Balance{.from = microseconds(0), .weights = {1, 0, 0}}});
+  PrintAll(context, Prefix(context, "uneven_balancer"), result);
+}
+
+// Full load from the first moment of a fresh fleet.
+auto ColdStart(const ScenarioContext& context) -> void {
+  const auto deployment = Logbook();
+  const auto run = StartFleet(deployment, context.policy, context.seed);
+  const auto instances = run->cluster->Instances().size();
+  for (size_t i = 0; i < instances; ++i) {
+    run->cluster->Restart(i, false);
+  }
+  for (size_t i = 0; i < instances; ++i) {
+    run->cluster->WaitUntilReady(i);
+  }
+  const auto result = RunStreams(
+      *run, OrdinaryLoad(deployment, Evenly(0.95), kFleetSlots, kRunLength));
+  const auto prefix = Prefix(context, "cold_start");
+  constexpr seconds kStep{2};
+  for (seconds from{0}; from < seconds(6); from += kStep) {
+    for (const auto* it : {"urgent", "middle", "bulk"}) {
+      PrintStream(context.reporter,
+                  prefix + ".from_" + std::to_string(from.count()) + "s",
+                  result, it, from, from + kStep);
+    }
+  }
+  PrintWaste(context.reporter, prefix, result);
+}
+
+auto FleetProcessorTime(FleetRun& run) -> microseconds {
+  microseconds total{0};
+  for (const auto& it : run.cluster->Instances()) {
+    total += ProcessorTime(it.process->Pid());
+  }
+  return total;
+}
+
+// Processor time of the daemons for each request of one stream, without what
+// they use when idle.
+auto CostPerRequest(FleetRun& run,
+                    const Stream& stream,
+                    double idle_cores,
+                    const std::string& expected) -> double {
+  const auto before = FleetProcessorTime(run);
+  const auto begin = BootClock::now();
+  const auto result = RunStreams(run, {stream});
+  const auto elapsed = BootClock::now() - begin;
+  const auto busy =
+      static_cast<double>((FleetProcessorTime(run) - before).count()) -
+      idle_cores * static_cast<double>(elapsed.count());
+  const auto n = std::count_if(
+      result.outcomes.begin(), result.outcomes.end(),
+      [&](const RequestOutcome& it) { return it.state == expected; });
+  return n == 0 ? 0 : busy / static_cast<double>(n);
+}
+
+auto RefusalCost(const ScenarioContext& context) -> void {
+  const auto deployment = Cartas();
+  const auto run = StartFleet(deployment, context.policy, context.seed);
+  const auto idle_before = FleetProcessorTime(*run);
+  std::this_thread::sleep_for(seconds(3));
+  const auto idle_cores =
+      static_cast<double>((FleetProcessorTime(*run) - idle_before).count()) /
+      3e6;
+  auto served =
+      OrdinaryLoad(deployment, Mix{.urgent = 0.5}, kFleetSlots, seconds(6))[0];
+  const auto served_cost = CostPerRequest(*run, served, idle_cores, "done");
+  const auto prefix = Prefix(context, "refusal_cost");
+  const auto& reporter = context.reporter;
+  PrintFigure(reporter, prefix + ".served_single", served_cost, "us/request");
+  for (const uint32_t tasks : {1U, 20U}) {
+    auto refused = served;
+    refused.jobs_per_second = 2000;
+    refused.shape.tasks = tasks;
+    refused.shape.kind = "never-in-time";
+    refused.shape.run_hint = milliseconds(60000);
+    refused.shape.deadline = milliseconds(20);
+    const auto cost = CostPerRequest(*run, refused, idle_cores, "refused");
+    const auto name = prefix + ".refused_" + std::to_string(tasks) + "_tasks";
+    PrintFigure(reporter, name, cost, "us/request");
+    PrintFigure(reporter, name + "_to_served", cost / served_cost, "ratio");
+  }
+  PrintLoadAverage(reporter, prefix + ".load_average");
+}
+
+}  // namespace
+
+auto LoadScenarios() -> std::vector<Scenario> {
+  return {{"steady80_logbook", SteadyLogbook<80>},
+          {"flood_least_urgent", FloodLeastUrgent},
+          {"flood_most_urgent", FloodMostUrgent},
+          {"steady50_logbook", SteadyLogbook<50>},
+          {"steady95_logbook", SteadyLogbook<95>},
+          {"refusal_cost", RefusalCost},
+          {"flood_one_partner", FloodOnePartner},
+          {"uneven_balancer", UnevenBalancer},
+          {"cold_start", ColdStart},
+          {"steady80_cartas", SteadyCartas<80>},
+          {"steady50_cartas", SteadyCartas<50>},
+          {"steady95_cartas", SteadyCartas<95>}};
+}
+
+}  // namespace boragecroft::bench
