--- a/peers/instance/gen/boragecroft_types.cpp
+++ b/peers/instance/gen/boragecroft_types.cpp
@@ -1245,6 +1245,195 @@
 }
 
 
+WireVerdict::~WireVerdict() noexcept {
+}
+
+
+void WireVerdict::__set_worker(const std::string& val) {
+  this->worker = val;
+}
+
+void WireVerdict::__set_incarnation(const std::string& val) {
+  this->incarnation = val;
+}
+
+void WireVerdict::__set_service_name(const std::string& val) {
+  this->service_name = val;
+}
+
+void WireVerdict::__set_kind(const std::string& val) {
+  this->kind = val;
+}
+
+void WireVerdict::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+std::ostream& operator<<(std::ostream& out, const WireVerdict& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WireVerdict::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->worker);
+          this->__isset.worker = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_name);
+          this->__isset.service_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->kind);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t WireVerdict::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WireVerdict");
+
+  xfer += oprot->writeFieldBegin("worker", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->worker);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("service_name", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->service_name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->kind);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WireVerdict &a, WireVerdict &b) {
+  using ::std::swap;
+  swap(a.worker, b.worker);
+  swap(a.incarnation, b.incarnation);
+  swap(a.service_name, b.service_name);
+  swap(a.kind, b.kind);
+  swap(a.sequence, b.sequence);
+  swap(a.__isset, b.__isset);
+}
+
+WireVerdict::WireVerdict(const WireVerdict& other32) {
+  worker = other32.worker;
+  incarnation = other32.incarnation;
+  service_name = other32.service_name;
+  kind = other32.kind;
+  sequence = other32.sequence;
+  __isset = other32.__isset;
+}
+WireVerdict::WireVerdict(WireVerdict&& other33) noexcept {
+  worker = std::move(other33.worker);
+  incarnation = std::move(other33.incarnation);
+  service_name = std::move(other33.service_name);
+  kind = std::move(other33.kind);
+  sequence = other33.sequence;
+  __isset = other33.__isset;
+}
+WireVerdict& WireVerdict::operator=(const WireVerdict& other34) {
+  worker = other34.worker;
+  incarnation = other34.incarnation;
+  service_name = other34.service_name;
+  kind = other34.kind;
+  sequence = other34.sequence;
+  __isset = other34.__isset;
+  return *this;
+}
+WireVerdict& WireVerdict::operator=(WireVerdict&& other35) noexcept {
+  worker = std::move(other35.worker);
+  incarnation = std::move(other35.incarnation);
+  service_name = std::move(other35.service_name);
+  kind = std::move(other35.kind);
+  sequence = other35.sequence;
+  __isset = other35.__isset;
+  return *this;
+}
+void WireVerdict::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WireVerdict(";
+  out << "worker=" << to_string(worker);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "service_name=" << to_string(service_name);
+  out << ", " << "kind=" << to_string(kind);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ")";
+}
+
+
 WireHeartbeat::~WireHeartbeat() noexcept {
 }
 
@@ -1288,6 +1477,22 @@
 void WireHeartbeat::__set_echo_sequence(const int64_t val) {
   this->echo_sequence = val;
 }
+
+void WireHeartbeat::__set_roster_digest(const int64_t val) {
+  this->roster_digest = val;
+}
+
+void WireHeartbeat::__set_quota_claims(const bool val) {
+  this->quota_claims = val;
+}
+
+void WireHeartbeat::__set_quota_leases(const std::vector<WireDemand> & val) {
+  this->quota_leases = val;
+}
+
+void WireHeartbeat::__set_verdicts(const std::vector<WireVerdict> & val) {
+  this->verdicts = val;
+}
 std::ostream& operator<<(std::ostream& out, const WireHeartbeat& obj)
 {
   obj.printTo(out);
@@ -1368,14 +1573,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->service_demands.clear();
-            uint32_t _size32;
-            ::apache::thrift::protocol::TType _etype35;
-            xfer += iprot->readListBegin(_etype35, _size32);
-            this->service_demands.resize(_size32);
-            uint32_t _i36;
-            for (_i36 = 0; _i36 < _size32; ++_i36)
+            uint32_t _size36;
+            ::apache::thrift::protocol::TType _etype39;
+            xfer += iprot->readListBegin(_etype39, _size36);
+            this->service_demands.resize(_size36);
+            uint32_t _i40;
+            for (_i40 = 0; _i40 < _size36; ++_i40)
             {
-              xfer += this->service_demands[_i36].read(iprot);
+              xfer += this->service_demands[_i40].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1388,14 +1593,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->team_demands.clear();
-            uint32_t _size37;
-            ::apache::thrift::protocol::TType _etype40;
-            xfer += iprot->readListBegin(_etype40, _size37);
-            this->team_demands.resize(_size37);
-            uint32_t _i41;
-            for (_i41 = 0; _i41 < _size37; ++_i41)
+            uint32_t _size41;
+            ::apache::thrift::protocol::TType _etype44;
+            xfer += iprot->readListBegin(_etype44, _size41);
+            this->team_demands.resize(_size41);
+            uint32_t _i45;
+            for (_i45 = 0; _i45 < _size41; ++_i45)
             {
-              xfer += this->team_demands[_i41].read(iprot);
+              xfer += this->team_demands[_i45].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1420,6 +1625,62 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->roster_digest);
+          this->__isset.roster_digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->quota_claims);
+          this->__isset.quota_claims = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->quota_leases.clear();
+            uint32_t _size46;
+            ::apache::thrift::protocol::TType _etype49;
+            xfer += iprot->readListBegin(_etype49, _size46);
+            this->quota_leases.resize(_size46);
+            uint32_t _i50;
+            for (_i50 = 0; _i50 < _size46; ++_i50)
+            {
+              xfer += this->quota_leases[_i50].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.quota_leases = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->verdicts.clear();
+            uint32_t _size51;
+            ::apache::thrift::protocol::TType _etype54;
+            xfer += iprot->readListBegin(_etype54, _size51);
+            this->verdicts.resize(_size51);
+            uint32_t _i55;
+            for (_i55 = 0; _i55 < _size51; ++_i55)
+            {
+              xfer += this->verdicts[_i55].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.verdicts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1464,10 +1725,10 @@
   xfer += oprot->writeFieldBegin("service_demands", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->service_demands.size()));
-    std::vector<WireDemand> ::const_iterator _iter42;
-    for (_iter42 = this->service_demands.begin(); _iter42 != this->service_demands.end(); ++_iter42)
+    std::vector<WireDemand> ::const_iterator _iter56;
+    for (_iter56 = this->service_demands.begin(); _iter56 != this->service_demands.end(); ++_iter56)
     {
-      xfer += (*_iter42).write(oprot);
+      xfer += (*_iter56).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1476,10 +1737,10 @@
   xfer += oprot->writeFieldBegin("team_demands", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->team_demands.size()));
-    std::vector<WireDemand> ::const_iterator _iter43;
-    for (_iter43 = this->team_demands.begin(); _iter43 != this->team_demands.end(); ++_iter43)
+    std::vector<WireDemand> ::const_iterator _iter57;
+    for (_iter57 = this->team_demands.begin(); _iter57 != this->team_demands.end(); ++_iter57)
     {
-      xfer += (*_iter43).write(oprot);
+      xfer += (*_iter57).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1493,6 +1754,38 @@
   xfer += oprot->writeI64(this->echo_sequence);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("roster_digest", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->roster_digest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("quota_claims", ::apache::thrift::protocol::T_BOOL, 12);
+  xfer += oprot->writeBool(this->quota_claims);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("quota_leases", ::apache::thrift::protocol::T_LIST, 13);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quota_leases.size()));
+    std::vector<WireDemand> ::const_iterator _iter58;
+    for (_iter58 = this->quota_leases.begin(); _iter58 != this->quota_leases.end(); ++_iter58)
+    {
+      xfer += (*_iter58).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("verdicts", ::apache::thrift::protocol::T_LIST, 14);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->verdicts.size()));
+    std::vector<WireVerdict> ::const_iterator _iter59;
+    for (_iter59 = this->verdicts.begin(); _iter59 != this->verdicts.end(); ++_iter59)
+    {
+      xfer += (*_iter59).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1510,61 +1803,81 @@
   swap(a.team_demands, b.team_demands);
   swap(a.echo_incarnation, b.echo_incarnation);
   swap(a.echo_sequence, b.echo_sequence);
+  swap(a.roster_digest, b.roster_digest);
+  swap(a.quota_claims, b.quota_claims);
+  swap(a.quota_leases, b.quota_leases);
+  swap(a.verdicts, b.verdicts);
   swap(a.__isset, b.__isset);
 }
 
-WireHeartbeat::WireHeartbeat(const WireHeartbeat& other44) {
-  instance = other44.instance;
-  zone = other44.zone;
-  address = other44.address;
-  sequence = other44.sequence;
-  configuration_version = other44.configuration_version;
-  leaving = other44.leaving;
-  service_demands = other44.service_demands;
-  team_demands = other44.team_demands;
-  echo_incarnation = other44.echo_incarnation;
-  echo_sequence = other44.echo_sequence;
-  __isset = other44.__isset;
-}
-WireHeartbeat::WireHeartbeat(WireHeartbeat&& other45) noexcept {
-  instance = std::move(other45.instance);
-  zone = std::move(other45.zone);
-  address = std::move(other45.address);
-  sequence = other45.sequence;
-  configuration_version = other45.configuration_version;
-  leaving = other45.leaving;
-  service_demands = std::move(other45.service_demands);
-  team_demands = std::move(other45.team_demands);
-  echo_incarnation = other45.echo_incarnation;
-  echo_sequence = other45.echo_sequence;
-  __isset = other45.__isset;
-}
-WireHeartbeat& WireHeartbeat::operator=(const WireHeartbeat& other46) {
-  instance = other46.instance;
-  zone = other46.zone;
-  address = other46.address;
-  sequence = other46.sequence;
-  configuration_version = other46.configuration_version;
-  leaving = other46.leaving;
-  service_demands = other46.service_demands;
-  team_demands = other46.team_demands;
-  echo_incarnation = other46.echo_incarnation;
-  echo_sequence = other46.echo_sequence;
-  __isset = other46.__isset;
+WireHeartbeat::WireHeartbeat(const WireHeartbeat& other60) {
+  instance = other60.instance;
+  zone = other60.zone;
+  address = other60.address;
+  sequence = other60.sequence;
+  configuration_version = other60.configuration_version;
+  leaving = other60.leaving;
+  service_demands = other60.service_demands;
+  team_demands = other60.team_demands;
+  echo_incarnation = other60.echo_incarnation;
+  echo_sequence = other60.echo_sequence;
+  roster_digest = other60.roster_digest;
+  quota_claims = other60.quota_claims;
+  quota_leases = other60.quota_leases;
+  verdicts = other60.verdicts;
+  __isset = other60.__isset;
+}
+WireHeartbeat::WireHeartbeat(WireHeartbeat&& other61) noexcept {
+  instance = std::move(other61.instance);
+  zone = std::move(other61.zone);
+  address = std::move(other61.address);
+  sequence = other61.sequence;
+  configuration_version = other61.configuration_version;
+  leaving = other61.leaving;
+  service_demands = std::move(other61.service_demands);
+  team_demands = std::move(other61.team_demands);
+  echo_incarnation = other61.echo_incarnation;
+  echo_sequence = other61.echo_sequence;
+  roster_digest = other61.roster_digest;
+  quota_claims = other61.quota_claims;
+  quota_leases = std::move(other61.quota_leases);
+  verdicts = std::move(other61.verdicts);
+  __isset = other61.__isset;
+}
+WireHeartbeat& WireHeartbeat::operator=(const WireHeartbeat& other62) {
+  instance = other62.instance;
+  zone = other62.zone;
+  address = other62.address;
+  sequence = other62.sequence;
+  configuration_version = other62.configuration_version;
+  leaving = other62.leaving;
+  service_demands = other62.service_demands;
+  team_demands = other62.team_demands;
+  echo_incarnation = other62.echo_incarnation;
+  echo_sequence = other62.echo_sequence;
+  roster_digest = other62.roster_digest;
+  quota_claims = other62.quota_claims;
+  quota_leases = other62.quota_leases;
+  verdicts = other62.verdicts;
+  __isset = other62.__isset;
   return *this;
 }
-WireHeartbeat& WireHeartbeat::operator=(WireHeartbeat&& other47) noexcept {
-  instance = std::move(other47.instance);
-  zone = std::move(other47.zone);
-  address = std::move(other47.address);
-  sequence = other47.sequence;
-  configuration_version = other47.configuration_version;
-  leaving = other47.leaving;
-  service_demands = std::move(other47.service_demands);
-  team_demands = std::move(other47.team_demands);
-  echo_incarnation = other47.echo_incarnation;
-  echo_sequence = other47.echo_sequence;
-  __isset = other47.__isset;
+WireHeartbeat& WireHeartbeat::operator=(WireHeartbeat&& other63) noexcept {
+  instance = std::move(other63.instance);
+  zone = std::move(other63.zone);
+  address = std::move(other63.address);
+  sequence = other63.sequence;
+  configuration_version = other63.configuration_version;
+  leaving = other63.leaving;
+  service_demands = std::move(other63.service_demands);
+  team_demands = std::move(other63.team_demands);
+  echo_incarnation = other63.echo_incarnation;
+  echo_sequence = other63.echo_sequence;
+  roster_digest = other63.roster_digest;
+  quota_claims = other63.quota_claims;
+  quota_leases = std::move(other63.quota_leases);
+  verdicts = std::move(other63.verdicts);
+  __isset = other63.__isset;
   return *this;
 }
 void WireHeartbeat::printTo(std::ostream& out) const {
@@ -1580,6 +1893,10 @@
   out << ", " << "team_demands=" << to_string(team_demands);
   out << ", " << "echo_incarnation=" << to_string(echo_incarnation);
   out << ", " << "echo_sequence=" << to_string(echo_sequence);
+  out << ", " << "roster_digest=" << to_string(roster_digest);
+  out << ", " << "quota_claims=" << to_string(quota_claims);
+  out << ", " << "quota_leases=" << to_string(quota_leases);
+  out << ", " << "verdicts=" << to_string(verdicts);
   out << ")";
 }
 
@@ -1659,22 +1976,22 @@
   swap(a.__isset, b.__isset);
 }
 
-WireConfigurationRequest::WireConfigurationRequest(const WireConfigurationRequest& other48) noexcept {
-  known_version = other48.known_version;
-  __isset = other48.__isset;
+WireConfigurationRequest::WireConfigurationRequest(const WireConfigurationRequest& other64) noexcept {
+  known_version = other64.known_version;
+  __isset = other64.__isset;
 }
-WireConfigurationRequest::WireConfigurationRequest(WireConfigurationRequest&& other49) noexcept {
-  known_version = other49.known_version;
-  __isset = other49.__isset;
+WireConfigurationRequest::WireConfigurationRequest(WireConfigurationRequest&& other65) noexcept {
+  known_version = other65.known_version;
+  __isset = other65.__isset;
 }
-WireConfigurationRequest& WireConfigurationRequest::operator=(const WireConfigurationRequest& other50) noexcept {
-  known_version = other50.known_version;
-  __isset = other50.__isset;
+WireConfigurationRequest& WireConfigurationRequest::operator=(const WireConfigurationRequest& other66) noexcept {
+  known_version = other66.known_version;
+  __isset = other66.__isset;
   return *this;
 }
-WireConfigurationRequest& WireConfigurationRequest::operator=(WireConfigurationRequest&& other51) noexcept {
-  known_version = other51.known_version;
-  __isset = other51.__isset;
+WireConfigurationRequest& WireConfigurationRequest::operator=(WireConfigurationRequest&& other67) noexcept {
+  known_version = other67.known_version;
+  __isset = other67.__isset;
   return *this;
 }
 void WireConfigurationRequest::printTo(std::ostream& out) const {
@@ -1777,26 +2094,26 @@
   swap(a.__isset, b.__isset);
 }
 
-WireConfiguration::WireConfiguration(const WireConfiguration& other52) {
-  version = other52.version;
-  document = other52.document;
-  __isset = other52.__isset;
+WireConfiguration::WireConfiguration(const WireConfiguration& other68) {
+  version = other68.version;
+  document = other68.document;
+  __isset = other68.__isset;
 }
-WireConfiguration::WireConfiguration(WireConfiguration&& other53) noexcept {
-  version = other53.version;
-  document = std::move(other53.document);
-  __isset = other53.__isset;
+WireConfiguration::WireConfiguration(WireConfiguration&& other69) noexcept {
+  version = other69.version;
+  document = std::move(other69.document);
+  __isset = other69.__isset;
 }
-WireConfiguration& WireConfiguration::operator=(const WireConfiguration& other54) {
-  version = other54.version;
-  document = other54.document;
-  __isset = other54.__isset;
+WireConfiguration& WireConfiguration::operator=(const WireConfiguration& other70) {
+  version = other70.version;
+  document = other70.document;
+  __isset = other70.__isset;
   return *this;
 }
-WireConfiguration& WireConfiguration::operator=(WireConfiguration&& other55) noexcept {
-  version = other55.version;
-  document = std::move(other55.document);
-  __isset = other55.__isset;
+WireConfiguration& WireConfiguration::operator=(WireConfiguration&& other71) noexcept {
+  version = other71.version;
+  document = std::move(other71.document);
+  __isset = other71.__isset;
   return *this;
 }
 void WireConfiguration::printTo(std::ostream& out) const {
@@ -1978,42 +2295,42 @@
   swap(a.__isset, b.__isset);
 }
 
-WireMessage::WireMessage(const WireMessage& other56) {
-  from_incarnation = other56.from_incarnation;
-  heartbeat = other56.heartbeat;
-  relay_request = other56.relay_request;
-  relay_reply = other56.relay_reply;
-  configuration_request = other56.configuration_request;
-  configuration = other56.configuration;
-  __isset = other56.__isset;
-}
-WireMessage::WireMessage(WireMessage&& other57) noexcept {
-  from_incarnation = other57.from_incarnation;
-  heartbeat = std::move(other57.heartbeat);
-  relay_request = std::move(other57.relay_request);
-  relay_reply = std::move(other57.relay_reply);
-  configuration_request = std::move(other57.configuration_request);
-  configuration = std::move(other57.configuration);
-  __isset = other57.__isset;
-}
-WireMessage& WireMessage::operator=(const WireMessage& other58) {
-  from_incarnation = other58.from_incarnation;
-  heartbeat = other58.heartbeat;
-  relay_request = other58.relay_request;
-  relay_reply = other58.relay_reply;
-  configuration_request = other58.configuration_request;
-  configuration = other58.configuration;
-  __isset = other58.__isset;
+WireMessage::WireMessage(const WireMessage& other72) {
+  from_incarnation = other72.from_incarnation;
+  heartbeat = other72.heartbeat;
+  relay_request = other72.relay_request;
+  relay_reply = other72.relay_reply;
+  configuration_request = other72.configuration_request;
+  configuration = other72.configuration;
+  __isset = other72.__isset;
+}
+WireMessage::WireMessage(WireMessage&& other73) noexcept {
+  from_incarnation = other73.from_incarnation;
+  heartbeat = std::move(other73.heartbeat);
+  relay_request = std::move(other73.relay_request);
+  relay_reply = std::move(other73.relay_reply);
+  configuration_request = std::move(other73.configuration_request);
+  configuration = std::move(other73.configuration);
+  __isset = other73.__isset;
+}
+WireMessage& WireMessage::operator=(const WireMessage& other74) {
+  from_incarnation = other74.from_incarnation;
+  heartbeat = other74.heartbeat;
+  relay_request = other74.relay_request;
+  relay_reply = other74.relay_reply;
+  configuration_request = other74.configuration_request;
+  configuration = other74.configuration;
+  __isset = other74.__isset;
   return *this;
 }
-WireMessage& WireMessage::operator=(WireMessage&& other59) noexcept {
-  from_incarnation = other59.from_incarnation;
-  heartbeat = std::move(other59.heartbeat);
-  relay_request = std::move(other59.relay_request);
-  relay_reply = std::move(other59.relay_reply);
-  configuration_request = std::move(other59.configuration_request);
-  configuration = std::move(other59.configuration);
-  __isset = other59.__isset;
+WireMessage& WireMessage::operator=(WireMessage&& other75) noexcept {
+  from_incarnation = other75.from_incarnation;
+  heartbeat = std::move(other75.heartbeat);
+  relay_request = std::move(other75.relay_request);
+  relay_reply = std::move(other75.relay_reply);
+  configuration_request = std::move(other75.configuration_request);
+  configuration = std::move(other75.configuration);
+  __isset = other75.__isset;
   return *this;
 }
 void WireMessage::printTo(std::ostream& out) const {
