--- a/bench/scenarios/fleet_run.cc
+++ b/bench/scenarios/fleet_run.cc
@@ -99,6 +99,9 @@
     counts.wasted += number("attempts_busy") + number("attempts_draining") +
                      number("attempts_not_sent") + number("queries_sent") +
                      number("attempts_extra");
+    counts.busy += number("attempts_busy");
+    counts.queries += number("queries_sent");
+    counts.extra += number("attempts_extra");
     counts.put_aside += number("workers_put_aside");
   }
   for (const auto& it : run.cluster->Endpoints()) {
@@ -171,8 +174,15 @@
                 const LoadResult& result) -> void {
   const auto useful = result.after.useful - result.before.useful;
   const auto wasted = result.after.wasted - result.before.wasted;
+  PrintFigure(reporter, prefix + ".useful", useful, "attempts");
   PrintFigure(reporter, prefix + ".wasted_per_useful",
               useful > 0 ? wasted / useful : 0, "messages");
+  PrintFigure(reporter, prefix + ".busy",
+              result.after.busy - result.before.busy, "answers");
+  PrintFigure(reporter, prefix + ".queries",
+              result.after.queries - result.before.queries, "messages");
+  PrintFigure(reporter, prefix + ".extra",
+              result.after.extra - result.before.extra, "attempts");
   PrintFigure(reporter, prefix + ".load_average", result.load_average,
               "runnable");
 }
--- a/bench/scenarios/fleet_run.h
+++ b/bench/scenarios/fleet_run.h
@@ -23,6 +23,9 @@
 struct FleetCounts {
   double useful = 0;  // attempts that ran
   double wasted = 0;  // busy and other refused attempts, queries, duplicates
+  double busy = 0;    // of these, refused as busy
+  double queries = 0;
+  double extra = 0;  // retries and hedges
   double put_aside = 0;
   double starts = 0;
   std::vector<double> worker_starts;
