--- a/bench/scenarios/fleet_run.cc
+++ b/bench/scenarios/fleet_run.cc
@@ -24,7 +24,7 @@
     throw std::runtime_error("the declarations name no policy");
   }
   declarations.replace(at, found.size(), "\"policy\": \"" + policy + "\"");
-  const auto path =
+  auto path =
       (std::filesystem::temp_directory_path() /
        ("boragecroft-declarations-" + std::to_string(getpid()) + ".jsonc"))
           .string();
--- a/bench/scenarios/load_scenarios.cc
+++ b/bench/scenarios/load_scenarios.cc
@@ -1,6 +1,7 @@
 // Scenarios of load alone: steady, floods, balance, cost of refusals, cold
 // start.
 #include <algorithm>
+#include <cmath>
 #include <thread>
 
 #include "bench/scenarios/fleet_run.h"
@@ -38,7 +39,7 @@
   const auto run = StartFleet(deployment, context.policy, context.seed);
   const auto result = RunStreams(
       *run, OrdinaryLoad(deployment, Evenly(share), kFleetSlots, kRunLength));
-  const auto percent = std::to_string(static_cast<int>(share * 100 + 0.5));
+  const auto percent = std::to_string(std::lround(share * 100));
   const auto prefix =
       Prefix(context, "steady" + percent + "_" + deployment.name);
   PrintFigure(context.reporter, prefix + ".leg",
