--- a/bench/failures/tracked_job.h
+++ b/bench/failures/tracked_job.h
@@ -15,8 +15,8 @@
   bool submitted = false;
   bool accepted = false;          // an answer said that it is active or ended
   bool refused_for_good = false;  // refused without a hint to try again
-  bool unknown = false;  // an answer since the last submission said that
-                         // nothing was submitted
+  bool unknown = false;         // an answer since the last submission said that
+                                // nothing was submitted
   std::string recorded;         // the final state of a recorded answer
   std::vector<size_t> not_run;  // tasks that some answer called so
   int contradictions = 0;       // recorded answers that a later one contradicts
--- a/peers/caller/caller_server.cc
+++ b/peers/caller/caller_server.cc
@@ -86,6 +86,9 @@
                                                HttpResponder respond) {
     server->OnRequest(request, std::move(respond));
   };
+  callbacks.on_head = [server = self.get()](const HttpRequest& head) {
+    return server->CheckHead(head);
+  };
   callbacks.on_fault = FaultResponse;
   auto listening = HttpServer::Listen(context, options, std::move(callbacks));
   if (listening.has_error()) {
@@ -121,6 +124,19 @@
   return pending_.size();
 }
 
+auto CallerServer::CheckHead(const HttpRequest& head) const
+    -> std::optional<HttpResponse> {
+  const auto view = view_.load();
+  const auto length = FindHeader(head.headers, "Content-Length");
+  uint64_t bytes = 0;
+  std::from_chars(length.data(), length.data() + length.size(), bytes);
+  if (!view->configuration ||
+      bytes <= view->configuration->limits.max_body_bytes) {
+    return std::nullopt;
+  }
+  return FaultResponse(HttpFault::kBodyTooLarge);
+}
+
 auto CallerServer::OnRequest(const HttpRequest& request, HttpResponder respond)
     -> void {
   const auto path = PathSegments(request.target);
@@ -175,9 +191,10 @@
                             const HttpResponder& respond) -> void {
   const auto view = view_.load();
   if (!view->configuration) {
-    respond(ToHttp(RefusalReply{.refusal = Refusal::kNotReady,
-                                .reason = "no configuration is in force yet",
-                                .retry_after = kRetryAfter},
+    // The id may be another instance's and its job may have run: nothing is
+    // called "not run" here.
+    respond(ToHttp(UndecidedReply{.reason = "no configuration is in force yet",
+                                  .retry_after = kRetryAfter},
                    kNewestRecordVersion));
     return;
   }
@@ -225,8 +242,8 @@
   }
   CallerReply reply;
   reply.reply_to.number = number;
-  reply.body = RefusalReply{
-      .refusal = Refusal::kOverloaded,
+  // Whether a job under this id has run is not known here.
+  reply.body = UndecidedReply{
       .reason = "this instance takes no more requests at the moment",
       .retry_after = kRetryAfter};
   Deliver(reply);
--- a/peers/caller/caller_server.h
+++ b/peers/caller/caller_server.h
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -43,6 +44,8 @@
   CallerServer(const SharedCallerView& view,
                std::function<bool(CallerRequest)> submit);
 
+  // Refuses what is too long for the configuration before it is read.
+  auto CheckHead(const HttpRequest& head) const -> std::optional<HttpResponse>;
   auto OnRequest(const HttpRequest& request, HttpResponder respond) -> void;
   auto OnJobs(const HttpRequest& request,
               const std::vector<std::string>& path,
--- a/peers/instance/boragecroft.thrift
+++ b/peers/instance/boragecroft.thrift
@@ -76,6 +76,7 @@
   12: bool quota_claims
   13: list<WireDemand> quota_leases
   14: list<WireVerdict> verdicts
+  15: i64 started_ms
 }
 
 struct WireConfigurationRequest {
--- a/peers/instance/gen/boragecroft_types.cpp
+++ b/peers/instance/gen/boragecroft_types.cpp
@@ -1493,6 +1493,10 @@
 void WireHeartbeat::__set_verdicts(const std::vector<WireVerdict> & val) {
   this->verdicts = val;
 }
+
+void WireHeartbeat::__set_started_ms(const int64_t val) {
+  this->started_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const WireHeartbeat& obj)
 {
   obj.printTo(out);
@@ -1681,6 +1685,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->started_ms);
+          this->__isset.started_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1786,6 +1798,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("started_ms", ::apache::thrift::protocol::T_I64, 15);
+  xfer += oprot->writeI64(this->started_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1807,6 +1823,7 @@
   swap(a.quota_claims, b.quota_claims);
   swap(a.quota_leases, b.quota_leases);
   swap(a.verdicts, b.verdicts);
+  swap(a.started_ms, b.started_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -1825,6 +1842,7 @@
   quota_claims = other60.quota_claims;
   quota_leases = other60.quota_leases;
   verdicts = other60.verdicts;
+  started_ms = other60.started_ms;
   __isset = other60.__isset;
 }
 WireHeartbeat::WireHeartbeat(WireHeartbeat&& other61) noexcept {
@@ -1842,6 +1860,7 @@
   quota_claims = other61.quota_claims;
   quota_leases = std::move(other61.quota_leases);
   verdicts = std::move(other61.verdicts);
+  started_ms = other61.started_ms;
   __isset = other61.__isset;
 }
 WireHeartbeat& WireHeartbeat::operator=(const WireHeartbeat& other62) {
@@ -1859,6 +1878,7 @@
   quota_claims = other62.quota_claims;
   quota_leases = other62.quota_leases;
   verdicts = other62.verdicts;
+  started_ms = other62.started_ms;
   __isset = other62.__isset;
   return *this;
 }
@@ -1877,6 +1897,7 @@
   quota_claims = other63.quota_claims;
   quota_leases = std::move(other63.quota_leases);
   verdicts = std::move(other63.verdicts);
+  started_ms = other63.started_ms;
   __isset = other63.__isset;
   return *this;
 }
@@ -1897,6 +1918,7 @@
   out << ", " << "quota_claims=" << to_string(quota_claims);
   out << ", " << "quota_leases=" << to_string(quota_leases);
   out << ", " << "verdicts=" << to_string(verdicts);
+  out << ", " << "started_ms=" << to_string(started_ms);
   out << ")";
 }
 
--- a/peers/instance/instance_codec.cc
+++ b/peers/instance/instance_codec.cc
@@ -153,6 +153,7 @@
   out.instance = it.instance;
   out.zone = it.zone;
   out.address = ToString(it.address);
+  out.started_ms = it.started.time_since_epoch().count();
   out.sequence = static_cast<int64_t>(it.sequence);
   out.configuration_version = static_cast<int64_t>(it.configuration_version);
   out.leaving = it.leaving;
@@ -247,6 +248,7 @@
   out.instance = std::move(in.instance);
   out.zone = std::move(in.zone);
   out.address = *address;
+  out.started = WallTime(milliseconds(in.started_ms));
   out.sequence = static_cast<uint64_t>(in.sequence);
   out.configuration_version = static_cast<uint64_t>(in.configuration_version);
   out.leaving = in.leaving;
--- a/servers/dispatcher/claiming.cc
+++ b/servers/dispatcher/claiming.cc
@@ -57,13 +57,16 @@
 
 auto Continue(Step& step, const std::shared_ptr<OpenClaim>& claim) -> void {
   const auto phase = claim->attempt.phase;
+  const auto late = step.now.boot >= claim->expires;
   if (phase == ClaimPhase::kWon || phase == ClaimPhase::kLost) {
+    --step.dispatcher.open_claims;
     GoOnWithId(step, *claim);
     return;
   }
   // An earlier request under this key may have run: only the table knows, so
   // nothing is called "not run" here.
-  if (phase == ClaimPhase::kFaulty || step.now.boot >= claim->expires) {
+  if (phase == ClaimPhase::kFaulty || late) {
+    --step.dispatcher.open_claims;
     ReplyUndecided(step, claim->request.reply_to,
                    "the platform did not say what this key stands for");
     return;
@@ -80,7 +83,7 @@
 auto ClaimKeyOf(Step& step, CallerRequest request) -> void {
   auto& dispatcher = step.dispatcher;
   if (!ReadyToServe(dispatcher.configuration, step.now) ||
-      dispatcher.drain >= DrainPhase::kFinishing) {
+      dispatcher.drain >= DrainPhase::kFinishing || dispatcher.deposed) {
     ReplyUndecided(step, request.reply_to,
                    "this instance takes no submissions at the moment");
     return;
@@ -95,6 +98,7 @@
       MakeClaim(partner, submit.caller_key, id, std::move(operation));
   claim->expires = step.now.boot + kClaimTimeout;
   claim->request = std::move(request);
+  ++dispatcher.open_claims;
   Continue(step, claim);
 }
 
--- a/servers/dispatcher/configuration_flow.cc
+++ b/servers/dispatcher/configuration_flow.cc
@@ -190,6 +190,9 @@
       reply.body = std::move(body);
       break;
     }
+    case ApplyOutcome::kInvalid:
+      ReplyInvalid(step, apply.number, apply.attempt.errors);
+      return;
     case ApplyOutcome::kNotApplied:
       reply.status = 503;
       reply.body = ErrorBody("unavailable");
--- a/servers/dispatcher/dispatcher.cc
+++ b/servers/dispatcher/dispatcher.cc
@@ -60,8 +60,8 @@
   OnRelayRequest(step, from, std::move(request));
 }
 
-auto Take(Step& step, Incarnation /*from*/, RelayReply& reply) -> void {
-  OnRelayReply(step, std::move(reply));
+auto Take(Step& step, Incarnation from, RelayReply& reply) -> void {
+  OnRelayReply(step, from, std::move(reply));
 }
 
 auto Take(Step& step, Incarnation from, ConfigurationRequest& request) -> void {
@@ -95,6 +95,8 @@
   dispatcher->started = now;
   dispatcher->quota_state.roster.self = self;
   dispatcher->random.seed(seed);
+  // Numbers of an earlier incarnation at this address must not be met again.
+  dispatcher->next_relay = dispatcher->random();
   dispatcher->mint.incarnation = self;
   dispatcher->mint.started = now;
   dispatcher->mint.newest_minted = now.wall;
--- a/servers/dispatcher/draining.cc
+++ b/servers/dispatcher/draining.cc
@@ -18,8 +18,8 @@
 }
 
 auto HasWork(const Dispatcher& dispatcher) -> bool {
-  return !dispatcher.deadlines.empty() || !dispatcher.relays.empty() ||
-         !dispatcher.lookups.empty();
+  return dispatcher.active_jobs > 0 || dispatcher.open_claims > 0 ||
+         !dispatcher.relays.empty() || !dispatcher.lookups.empty();
 }
 
 // The instance that serves the unused ids from now on: the first reachable one
@@ -49,23 +49,28 @@
   for (const auto& it : open) {
     StopJob(step, it, kReasonStopped);
   }
-  if (!dispatcher.deadlines.empty() &&
+  if (dispatcher.active_jobs > 0 &&
       step.now.boot - dispatcher.drain_started <
           dispatcher.settings.drain_timeout + dispatcher.settings.answer_hold) {
     return;
   }
   Enter(step, DrainPhase::kFlushing, "flushing");
-  // Closed as clean, the ledger says that ids without a record never ran: that
-  // would be false for a job that is still open here. Left open, survivors
-  // close it and call such jobs lost.
-  if (!dispatcher.deadlines.empty()) {
-    return;
+}
+
+// Closed as clean, the ledger says that ids without a record never ran: that
+// would be false for a job that is still open here. Left open, survivors close
+// it and call such jobs lost.
+auto CloseLedger(Step& step) -> void {
+  auto& dispatcher = step.dispatcher;
+  if (dispatcher.active_jobs == 0 &&
+      dispatcher.ledger.phase == LedgerPhase::kOpen) {
+    RequestClose(dispatcher.ledger, ChooseSuccessor(dispatcher, step.now.boot));
   }
-  RequestClose(dispatcher.ledger, ChooseSuccessor(dispatcher, step.now.boot));
 }
 
 auto FlushOrGiveUp(Step& step) -> void {
   auto& dispatcher = step.dispatcher;
+  CloseLedger(step);
   const auto phase = dispatcher.ledger.phase;
   const auto recorded =
       phase == LedgerPhase::kClosed ||
--- a/servers/dispatcher/job_table.cc
+++ b/servers/dispatcher/job_table.cc
@@ -54,6 +54,7 @@
   auto& dispatcher = step.dispatcher;
   const auto& id = job.submission->id;
   job.state = FinalState(job);
+  --dispatcher.active_jobs;
   job.finished = step.now.boot;
   RecordFinal(step, job);
   if (dispatcher.deposed) {
@@ -143,6 +144,7 @@
   job.open_tasks = static_cast<uint32_t>(job.tasks.size());
   dispatcher.deadlines.emplace(job.deadline, id);
   ++dispatcher.counters.jobs_accepted;
+  ++dispatcher.active_jobs;
   RecordAccepted(step, job);
   QueueJob(step, job);
   return job;
@@ -207,7 +209,8 @@
       --job.open_tasks;
     }
   }
-  if (job.open_tasks == 0) {
+  // Settling its tasks may have ended the job already.
+  if (job.open_tasks == 0 && job.state == JobState::kActive) {
     FinishJob(step, job);
   }
 }
--- a/servers/dispatcher/membership_flow.cc
+++ b/servers/dispatcher/membership_flow.cc
@@ -101,6 +101,7 @@
   heartbeat.instance = dispatcher.settings.instance;
   heartbeat.zone = dispatcher.settings.zone;
   heartbeat.address = dispatcher.settings.peer_address;
+  heartbeat.started = dispatcher.started.wall;
   heartbeat.sequence = peer.sent_sequence;
   heartbeat.configuration_version =
       static_cast<uint64_t>(VersionInForce(dispatcher.configuration));
--- a/servers/dispatcher/owner_routing.cc
+++ b/servers/dispatcher/owner_routing.cc
@@ -69,9 +69,9 @@
   RouteRequest(step, std::move(local));
 }
 
-auto OnRelayReply(Step& step, RelayReply reply) -> void {
+auto OnRelayReply(Step& step, Incarnation from, RelayReply reply) -> void {
   const auto it = step.dispatcher.relays.find(reply.number);
-  if (it == step.dispatcher.relays.end()) {
+  if (it == step.dispatcher.relays.end() || it->second.owner != from) {
     return;
   }
   const auto reply_to = it->second.request.reply_to;
--- a/servers/dispatcher/owner_routing.h
+++ b/servers/dispatcher/owner_routing.h
@@ -30,7 +30,7 @@
 // A request that another instance relayed here, and the reply to one that was
 // relayed from here.
 auto OnRelayRequest(Step& step, Incarnation from, RelayRequest request) -> void;
-auto OnRelayReply(Step& step, RelayReply reply) -> void;
+auto OnRelayReply(Step& step, Incarnation from, RelayReply reply) -> void;
 
 // Ends relayed requests whose owner did not answer in time.
 auto ExpireRelays(Step& step) -> void;
--- a/servers/dispatcher/peer_messages.h
+++ b/servers/dispatcher/peer_messages.h
@@ -34,6 +34,8 @@
   std::string instance;
   std::string zone;
   Address address;
+  WallTime started;  // of the sender's process: tells which of two incarnations
+                     // at one address is the newer
   uint64_t sequence = 0;
   uint64_t configuration_version = 0;
   bool leaving = false;
--- a/servers/dispatcher/state.h
+++ b/servers/dispatcher/state.h
@@ -177,6 +177,7 @@
 
   IdMint mint;
   std::unordered_map<JobId, Job> jobs;
+  size_t active_jobs = 0;  // not final, also past their deadline
   std::set<std::pair<Instant, JobId>> deadlines;  // of active jobs
   std::deque<std::pair<Instant, JobId>>
       finished;  // by the time when their answers may be dropped
@@ -197,7 +198,7 @@
 
   LedgerWriter ledger;
   bool ledger_call_open = false;
-  bool platform_suspect = false;  // as of the last tick
+  bool platform_suspect = false;     // as of the last tick
   std::set<std::string> read_backs;  // rows that are being read for the ledger
   std::vector<TableRow> read_back_rows;
 
@@ -205,7 +206,8 @@
   uint64_t next_relay = 1;
   std::unordered_map<uint64_t, RelayedRequest> relays;
   std::unordered_map<JobId, OpenLookup> lookups;
-  Instant next_closing;  // closing gone ledgers is rate-limited
+  size_t open_claims = 0;  // of callers' keys
+  Instant next_closing;    // closing gone ledgers is rate-limited
   // By an instance that stopped as planned and named this one as successor: its
   // ids that were unused then and were submitted here.
   std::map<Incarnation, SequenceRanges> adopted;
--- a/servers/dispatcher/state_dump.cc
+++ b/servers/dispatcher/state_dump.cc
@@ -120,6 +120,20 @@
   return quotas;
 }
 
+auto SizesOf(const Dispatcher& dispatcher) -> json::object {
+  json::object sizes;
+  sizes["jobs"] = dispatcher.jobs.size();
+  sizes["active_jobs"] = dispatcher.active_jobs;
+  sizes["tasks_in_progress"] = dispatcher.in_progress.size();
+  sizes["delayed_tasks"] = dispatcher.delayed.size();
+  sizes["id_batches"] = dispatcher.mint.batches.size();
+  sizes["open_relays"] = dispatcher.relays.size();
+  sizes["open_lookups"] = dispatcher.lookups.size();
+  sizes["open_platform_calls"] = dispatcher.platform_calls.size();
+  sizes["remembered_refusals"] = dispatcher.refused.size();
+  return sizes;
+}
+
 }  // namespace
 
 auto JobSummary(const Job& job, const Now& now) -> json::object {
@@ -174,17 +188,7 @@
     services[name] = QueueOf(service, InForce(dispatcher));
   }
   body["services"] = std::move(services);
-  json::object sizes;
-  sizes["jobs"] = dispatcher.jobs.size();
-  sizes["active_jobs"] = dispatcher.deadlines.size();
-  sizes["tasks_in_progress"] = dispatcher.in_progress.size();
-  sizes["delayed_tasks"] = dispatcher.delayed.size();
-  sizes["id_batches"] = dispatcher.mint.batches.size();
-  sizes["open_relays"] = dispatcher.relays.size();
-  sizes["open_lookups"] = dispatcher.lookups.size();
-  sizes["open_platform_calls"] = dispatcher.platform_calls.size();
-  sizes["remembered_refusals"] = dispatcher.refused.size();
-  body["sizes"] = std::move(sizes);
+  body["sizes"] = SizesOf(dispatcher);
   json::array jobs;
   for (const auto& it : dispatcher.deadlines) {
     if (jobs.size() >= kMaxListed) {
@@ -207,6 +211,7 @@
     refused[ToString(static_cast<Refusal>(i))] = counters.jobs_refused[i];
   }
   body["jobs_refused"] = std::move(refused);
+  body["sizes"] = SizesOf(dispatcher);
   return body;
 }
 
--- a/servers/dispatcher/submitting.cc
+++ b/servers/dispatcher/submitting.cc
@@ -94,6 +94,11 @@
     return;
   }
   const auto& submission = *submit.submission;
+  if (AllottedSlots(step.dispatcher.fleet, submission.service) == 0) {
+    ReplyRefused(step, reply_to, Refusal::kNotReady,
+                 "no worker of the service is known yet", kRefusalRetry);
+    return;
+  }
   if (!TakeId(step, submission.id)) {
     ReplyUndecided(step, reply_to, "the id was just taken");
     return;
@@ -138,8 +143,9 @@
         TakeSubmission(step, request.reply_to, *submit);
         return;
       }
-      ReplyRefused(step, request.reply_to, Refusal::kIdNotMinted,
-                   "nothing was submitted under this id", {});
+      // Not "refused": a submission under this id may still be on its way.
+      ReplyUndecided(step, request.reply_to,
+                     "nothing has been submitted under this id so far");
       return;
     case IdVerdict::kUsed:
     case IdVerdict::kBelowRetained:
--- a/servers/fleet/fleet.cc
+++ b/servers/fleet/fleet.cc
@@ -10,11 +10,6 @@
 constexpr auto kMaxBusyBackoff = seconds(1);
 constexpr auto kFirstConnectBackoff = milliseconds(100);
 constexpr auto kMaxConnectBackoff = seconds(5);
-// How long an endpoint that answered "draining" is left alone while the list
-// goes on showing the same incarnation as live.
-constexpr auto kFirstDrainingGrace = seconds(60);
-constexpr auto kMaxDrainingGrace = std::chrono::minutes(16);
-
 // Borrowed slots in progress at most.
 constexpr auto kMaxBorrowCredit = 32.0;
 
@@ -27,12 +22,7 @@
   return std::min(wait, limit);
 }
 
-auto Accepted(FleetWorker& worker, const Ticket& ticket) -> void {
-  // Tasks from before the drain prove nothing.
-  if (ticket.tries_draining) {
-    worker.draining = false;
-    worker.draining_answers = 0;
-  }
+auto Accepted(FleetWorker& worker) -> void {
   worker.busy_answers = 0;
   worker.connect_failures = 0;
   worker.backoff_until = {};
@@ -60,12 +50,11 @@
 
 auto OnStart(Fleet& fleet, size_t index, const Needs& needs) -> Ticket {
   auto& worker = fleet.workers[index];
-  const Ticket ticket{
-      .index = index,
-      .worker = worker.id,
-      .needs = needs,
-      .borrowed = worker.in_progress - worker.borrowed >= worker.allotted_slots,
-      .tries_draining = worker.draining};
+  const Ticket ticket{.index = index,
+                      .worker = worker.id,
+                      .needs = needs,
+                      .borrowed = worker.in_progress - worker.borrowed >=
+                                  worker.allotted_slots};
   ++worker.in_progress;
   worker.occupied.cpu_millis += needs.cpu_millis;
   worker.occupied.memory_mb += needs.memory_mb;
@@ -91,7 +80,7 @@
   }
   switch (answer) {
     case EndpointAnswer::kRan:
-      return Accepted(worker, ticket);
+      return Accepted(worker);
     case EndpointAnswer::kBusy:
       ++worker.busy_answers;
       worker.backoff_until =
@@ -99,10 +88,7 @@
           Doubled(kFirstBusyBackoff, kMaxBusyBackoff, worker.busy_answers);
       return;
     case EndpointAnswer::kDraining:
-      worker.draining_answers +=
-          !worker.draining || ticket.tries_draining ? 1 : 0;
       worker.draining = true;
-      worker.draining_seen = now.boot;
       return;
     case EndpointAnswer::kConnectFailed:
       ++worker.connect_failures;
@@ -134,17 +120,8 @@
 }
 
 auto IsUsable(const FleetWorker& worker, Now now) -> bool {
-  if (worker.state != WorkerState::kLive || now.boot < worker.backoff_until) {
-    return false;
-  }
-  if (!worker.draining) {
-    return true;
-  }
-  // One task at a time finds out whether the drain was called off.
-  const auto grace =
-      Doubled(kFirstDrainingGrace, kMaxDrainingGrace, worker.draining_answers);
-  return worker.listed_at > worker.draining_seen &&
-         now.boot >= worker.draining_seen + grace && worker.in_progress == 0;
+  return worker.state == WorkerState::kLive && !worker.draining &&
+         now.boot >= worker.backoff_until;
 }
 
 auto HasCapacity(const FleetWorker& worker, const Needs& needs) -> bool {
--- a/servers/fleet/fleet.h
+++ b/servers/fleet/fleet.h
@@ -59,9 +59,9 @@
 
   Instant listed_at{};  // when a list last showed it
 
-  bool draining = false;  // answered "draining" and has accepted nothing since
-  Instant draining_seen{};
-  uint32_t draining_answers = 0;  // to tries, without an accepted task between
+  // Answered "draining". Ends with its incarnation, or when the list shows it
+  // as live after it showed it as leaving.
+  bool draining = false;
   Instant backoff_until{};        // after busy answers and failed connects
   uint32_t busy_answers = 0;      // in a row
   uint32_t connect_failures = 0;  // in a row
@@ -119,7 +119,6 @@
   WorkerId worker;
   Needs needs;
   bool borrowed = false;
-  bool tries_draining = false;  // finds out whether the drain was called off
 };
 
 // Occupies a slot of the worker at `index`, as PickWorker returned it.
--- a/servers/fleet/worker_list.cc
+++ b/servers/fleet/worker_list.cc
@@ -95,6 +95,9 @@
   }
   auto& worker = fleet.workers[index];
   worker.listed = listed;
+  if (worker.state == WorkerState::kLeaving && !listed.leaving) {
+    worker.draining = false;
+  }
   worker.state = listed.leaving ? WorkerState::kLeaving : WorkerState::kLive;
   worker.listed_at = now.boot;
   worker.missing_lists = 0;
--- a/servers/membership/membership.cc
+++ b/servers/membership/membership.cc
@@ -130,6 +130,11 @@
       known != nullptr ? *known : AddPeer(membership, heartbeat.address, now);
   std::optional<Incarnation> replaced;
   if (peer.incarnation != from) {
+    // A late heartbeat of an older process must not displace the living one.
+    if (peer.incarnation.value != 0 && heartbeat.started <= peer.started) {
+      return std::nullopt;
+    }
+    peer.started = heartbeat.started;
     replaced = Replace(membership, peer, from, now);
   } else if (heartbeat.sequence <= peer.heard_sequence) {
     return std::nullopt;
--- a/servers/membership/membership.h
+++ b/servers/membership/membership.h
@@ -40,6 +40,7 @@
   std::string zone;
   Address address;
   Incarnation incarnation;  // zero until heard
+  WallTime started;         // of that incarnation
   bool leaving = false;
   bool listed = false;
   Instant last_listed;
