--- a/bench/failures/reconcile.cc
+++ b/bench/failures/reconcile.cc
@@ -185,6 +185,7 @@
   Findings findings;
   AnswerTotals totals;
   std::vector<std::optional<JsonReply>> answers;
+  answers.reserve(jobs.size());
   for (auto& it : jobs) {
     answers.push_back(AskEveryone(cluster, it));
   }
--- a/peers/operator/operator_server.cc
+++ b/peers/operator/operator_server.cc
@@ -159,7 +159,7 @@
   options.listen = address;
   HttpServerCallbacks callbacks;
   callbacks.on_request = [server = self.get()](const HttpRequest& request,
-                                               HttpResponder respond) {
+                                               const HttpResponder& respond) {
     server->OnRequest(request, respond);
   };
   auto listening = HttpServer::Listen(context, options, std::move(callbacks));
--- a/tests/process/endpoints_test.cc
+++ b/tests/process/endpoints_test.cc
@@ -26,6 +26,7 @@
       Submit(Callers(0), jobs.back());
     }
     std::vector<JsonReply> answers;
+    answers.reserve(jobs.size());
     for (const auto& it : jobs) {
       answers.push_back(ExpectOneAnswer(cluster, {0, 1}, it.id, it.partner));
     }
