--- a/tests/servers/dispatcher/virtual_fleet.cc
+++ b/tests/servers/dispatcher/virtual_fleet.cc
@@ -362,7 +362,7 @@
     }
   }
   for (auto& it : out.platform) {
-    DoPlatform(fleet, node, std::move(it));
+    DoPlatform(fleet, node, it);
   }
 }
 
