--- a/servers/dispatcher/state_dump.cc
+++ b/servers/dispatcher/state_dump.cc
@@ -67,6 +67,18 @@
   return it;
 }
 
+auto PeerStateName(const Membership& membership,
+                   const PeerInstance& peer,
+                   Instant now) -> std::string_view {
+  if (peer.stopped) {
+    return "stopped";
+  }
+  if (peer.leaving) {
+    return "leaving";
+  }
+  return IsReachable(membership, peer, now) ? "reachable" : "silent";
+}
+
 auto PeerOf(const Membership& membership,
             const PeerInstance& peer,
             const Now& now) -> json::object {
@@ -75,9 +87,7 @@
   it["zone"] = peer.zone;
   it["address"] = ToString(peer.address);
   it["incarnation"] = ToString(peer.incarnation);
-  it["state"] = peer.leaving                              ? "leaving"
-                : IsReachable(membership, peer, now.boot) ? "reachable"
-                                                          : "silent";
+  it["state"] = PeerStateName(membership, peer, now.boot);
   it["configuration_version"] = peer.configuration_version;
   it["last_heard_ms"] = peer.last_heard ? Age(*peer.last_heard, now.boot) : -1;
   return it;
