Keep an instance that stops in an outage until its records are durable

Cause of "callers were told different ends" (dispatcher_long_tests): the three ids are of incarnation 1002, which answered "done", unrecorded, at 1041.9 s to 1047.3 s, during an outage, and was stopped as planned in it. FlushOrGiveUp ended the process after drain_timeout + 2 * answer_hold (34 s) as "stopped_unrecorded": its pending final entries were lost with it. After the outage entry-0 (1006) closed the ledger as unclean, and all three instances answered "failed: owner_lost_unrecorded" at 1175 s to 1181 s. The check was right: the instance did not die, it was told to stop, and no platform failure lasts for ever. Ruled out, from the trace of who said what: ids that expired or were adopted (1002 itself answered), kBelowRetained, remembered refusals. Now the last phase has no time limit: the instance goes on answering for its ids until the platform takes its records. Only an instance that gave no id and took none over ends without the platform. Handing the records to a peer was weighed: it needs a message of up to max_pending_bytes and a second writer of a ledger. Tests: AStopInAnOutage (both failed first: "failed" and "undecided" instead of "done"), AnInstanceThatGaveNoIdStopsInAnOutage.

--- a/main/settings/settings_table.cc
+++ b/main/settings/settings_table.cc
@@ -59,7 +59,7 @@
                 "Gap between ticks that counts as a pause of this process; "
                 "below dead_after_ms."},
     DurationKey{"drain_timeout_ms", &S::drain_timeout, kTimeout,
-                "Longest time that a planned stop takes."},
+                "Longest time that a planned stop gives its jobs."},
     DurationKey{"balancer_grace_ms",
                 &S::balancer_grace,
                 {.low = 0, .high = 600'000},
--- a/servers/dispatcher/draining.cc
+++ b/servers/dispatcher/draining.cc
@@ -68,6 +68,15 @@
   }
 }
 
+// An instance that gave no id and took none over told no caller anything that a
+// record has to bear out.
+auto HasIds(const Dispatcher& dispatcher) -> bool {
+  return dispatcher.mint.next_sequence > 0 || !dispatcher.adopted.empty();
+}
+
+// Until its records are durable, this instance alone knows how its jobs ended:
+// survivors would call them lost, against what callers were told. So it goes on
+// answering for them, however long the platform is away.
 auto FlushOrGiveUp(Step& step) -> void {
   auto& dispatcher = step.dispatcher;
   CloseLedger(step);
@@ -79,7 +88,7 @@
   const auto late =
       step.now.boot - dispatcher.drain_started >
       dispatcher.settings.drain_timeout + dispatcher.settings.answer_hold * 2;
-  if (recorded || late) {
+  if (recorded || (late && !HasIds(dispatcher))) {
     Enter(step, DrainPhase::kStopped,
           recorded ? "stopped" : "stopped_unrecorded");
   }
--- a/tests/servers/dispatcher/faults_test.cc
+++ b/tests/servers/dispatcher/faults_test.cc
@@ -64,6 +64,44 @@
   EXPECT_EQ(TotalStarts(ran, 2), 2U);
 }
 
+struct AStopInAnOutage : ThreeInstances {
+  JobId ran;
+
+  auto SetUp() -> void override {
+    ran = FetchId(*fleet, 2).value();
+    fleet->platform_down = true;
+    const auto asked = Submit(*fleet, 2, MakeJob(ran, 2, "reminders"));
+    Elapse(*fleet, seconds(3));
+    ASSERT_EQ(StateTold(*fleet, asked), JobState::kDone);
+    Drain(*fleet, 2);
+    Elapse(*fleet, seconds(60));
+  }
+};
+
+TEST_F(AStopInAnOutage, OthersAnswerWhatTheStoppedInstanceAnswered) {
+  fleet->platform_down = false;
+  Elapse(*fleet, seconds(8));
+  ASSERT_EQ(fleet->nodes[2].dispatcher, nullptr);
+  Boot(*fleet, 2);
+  Elapse(*fleet, seconds(5));
+  const auto again = Fetch(*fleet, 0, ran);
+  Elapse(*fleet, seconds(5));
+  EXPECT_EQ(StateTold(*fleet, again), JobState::kDone);
+}
+
+TEST_F(AStopInAnOutage, ItAnswersForItsIdsUntilItsRecordsAreWritten) {
+  const auto again = Fetch(*fleet, 0, ran);
+  Elapse(*fleet, seconds(1));
+  EXPECT_EQ(StateTold(*fleet, again), JobState::kDone);
+}
+
+TEST_F(ThreeInstances, AnInstanceThatGaveNoIdStopsInAnOutage) {
+  fleet->platform_down = true;
+  Drain(*fleet, 2);
+  Elapse(*fleet, seconds(40));
+  EXPECT_EQ(fleet->nodes[2].dispatcher, nullptr);
+}
+
 TEST_F(ThreeInstances, ARefusalHoldsAfterTheOwnersDeath) {
   const auto id = FetchId(*fleet, 2).value();
   auto job = MakeJob(id, 1);
