Take no incarnation for gone because an older one was heard

Cause: IsGone called an incarnation replaced when any other incarnation had been heard at its address within dead_after. Now only an incarnation that started later stands for the end of an earlier one, and the incarnation of a peer is found also while it has no row yet. The trace ruled out the list (it named the instance) and late heartbeats. Test: ANewIncarnationIsNotGoneWhereItIsNotHeard (failed first: the owner's job "failed").

--- a/servers/dispatcher/record_lookup.cc
+++ b/servers/dispatcher/record_lookup.cc
@@ -191,6 +191,16 @@
   });
 }
 
+auto RecordedOf(const std::optional<IncarnationRow>& row) -> RecordedInstance {
+  if (!row) {
+    return {};
+  }
+  return RecordedInstance{
+      .name = row->instance,
+      .address = ParseAddress(row->address).value_or(Address()),
+      .started = row->started};
+}
+
 auto OnIncarnationRow(Step& step, const JobId& id, const TableRow& row)
     -> void {
   auto& dispatcher = step.dispatcher;
@@ -207,11 +217,8 @@
   }
   const auto own = open.ledger == dispatcher.self;
   if (!own && (!incarnation || !incarnation->closed)) {
-    const auto name = incarnation ? incarnation->instance : std::string();
-    const auto address =
-        incarnation ? ParseAddress(incarnation->address) : std::nullopt;
-    if (!IsGone(dispatcher.membership, open.ledger, name,
-                address.value_or(Address()), step.now.boot)) {
+    if (!IsGone(dispatcher.membership, open.ledger, RecordedOf(incarnation),
+                step.now.boot)) {
       GiveUp(step, id, "the instance that owns this id is out of reach");
       return;
     }
--- a/servers/membership/membership.cc
+++ b/servers/membership/membership.cc
@@ -232,13 +232,13 @@
 
 auto IsGone(const Membership& membership,
             Incarnation incarnation,
-            const std::string& instance,
-            const Address& address,
+            const RecordedInstance& recorded,
             Instant now) -> bool {
+  const auto& [name, address, started] = recorded;
   if (IsReplaced(membership, incarnation)) {
     return true;
   }
-  if (instance == membership.name || address == membership.address) {
+  if (name == membership.name || address == membership.address) {
     return incarnation != membership.self;
   }
   const auto limit = membership.settings.dead_after;
@@ -246,11 +246,12 @@
       membership.list_applied && now - *membership.list_applied < limit;
   const auto watched_long_enough = now - membership.started > limit;
   for (const auto& it : membership.peers) {
-    if (it.address != address && (instance.empty() || it.name != instance)) {
+    if (it.incarnation != incarnation && it.address != address &&
+        (name.empty() || it.name != name)) {
       continue;
     }
     const auto heard = it.last_heard && now - *it.last_heard < limit;
-    if (heard && it.incarnation.value != 0 && it.incarnation != incarnation) {
+    if (heard && it.incarnation != incarnation && it.started > started) {
       return true;
     }
     const auto listed = now - it.last_listed < limit;
--- a/servers/membership/membership.h
+++ b/servers/membership/membership.h
@@ -119,13 +119,20 @@
 auto ReachableZonePeers(const Membership& membership, Instant now)
     -> std::vector<const PeerInstance*>;
 
+// What the records say of an incarnation; all of it empty without a row.
+struct RecordedInstance {
+  std::string name;
+  Address address;
+  WallTime started;
+};
+
 // Whether an incarnation has certainly ended or will be treated so in the
 // records: a newer one stands at its address, or neither the list nor a
-// heartbeat has shown its instance for `dead_after`.
+// heartbeat has shown its instance for `dead_after`. An older one at its
+// address says nothing: this instance may not have heard the newer one yet.
 auto IsGone(const Membership& membership,
             Incarnation incarnation,
-            const std::string& instance,
-            const Address& address,
+            const RecordedInstance& recorded,
             Instant now) -> bool;
 
 }  // namespace boragecroft
--- a/tests/servers/dispatcher/faults_test.cc
+++ b/tests/servers/dispatcher/faults_test.cc
@@ -117,6 +117,21 @@
   EXPECT_EQ(StateTold(*fleet, again), JobState::kRefused);
 }
 
+// Instance 1 still takes the address for that of the older process.
+TEST_F(ThreeInstances, ANewIncarnationIsNotGoneWhereItIsNotHeard) {
+  Elapse(*fleet, seconds(30));
+  fleet->cuts.insert({1, 2});
+  Kill(*fleet, 2);
+  Boot(*fleet, 2);
+  Elapse(*fleet, seconds(5));
+  const auto id = FetchId(*fleet, 2).value();
+  Submit(*fleet, 1, MakeJob(id, 2));
+  Elapse(*fleet, seconds(5));
+  const auto asked = Submit(*fleet, 2, MakeJob(id, 2));
+  Elapse(*fleet, seconds(5));
+  EXPECT_EQ(StateTold(*fleet, asked), JobState::kDone);
+}
+
 struct OwnerDies : ThreeInstances, testing::WithParamInterface<int> {};
 
 TEST_P(OwnerDies, AtAnyMomentAndOthersTellWhatRan) {
