Record the refusal of an expired id

Cause: "id_expired" was answered from the owner's memory alone. The refusal is now recorded and remembered like any other. A successor also marks an adopted id as used when it calls it expired: it judges the age by wall time and its own setting, either of which may step back and would have let the id start after "not run". Test: AnExpiredIdStaysRefusedAfterTheOwnersDeath (failed first: "failed" instead of "refused").

--- a/servers/dispatcher/admitting.cc
+++ b/servers/dispatcher/admitting.cc
@@ -104,14 +104,14 @@
   return verdict;
 }
 
-auto RememberRefusal(Step& step, const Submission& submission, Refusal refusal)
-    -> void {
+auto RememberRefusal(Step& step,
+                     const JobId& id,
+                     const std::string& partner,
+                     Refusal refusal) -> void {
   auto& dispatcher = step.dispatcher;
   dispatcher.refused.emplace(
-      submission.id,
-      RememberedRefusal{.partner = submission.partner, .refusal = refusal});
-  dispatcher.refused_until.emplace_back(step.now.boot + kRefusalMemory,
-                                        submission.id);
+      id, RememberedRefusal{.partner = partner, .refusal = refusal});
+  dispatcher.refused_until.emplace_back(step.now.boot + kRefusalMemory, id);
 }
 
 auto ForgetRefusals(Step& step) -> void {
--- a/servers/dispatcher/admitting.h
+++ b/servers/dispatcher/admitting.h
@@ -25,8 +25,10 @@
 
 // Keeps the refusal of an id in memory, so that the id gets the same answer
 // again.
-auto RememberRefusal(Step& step, const Submission& submission, Refusal refusal)
-    -> void;
+auto RememberRefusal(Step& step,
+                     const JobId& id,
+                     const std::string& partner,
+                     Refusal refusal) -> void;
 // Drops refusals that were kept for long enough.
 auto ForgetRefusals(Step& step) -> void;
 
--- a/servers/dispatcher/submitting.cc
+++ b/servers/dispatcher/submitting.cc
@@ -106,7 +106,7 @@
   const auto verdict = AdmitSubmission(step, submission);
   if (verdict.refusal) {
     RecordRefusal(step, submission.partner, submission.id, *verdict.refusal);
-    RememberRefusal(step, submission, *verdict.refusal);
+    RememberRefusal(step, submission.id, submission.partner, *verdict.refusal);
     ReplyRefused(step, reply_to, *verdict.refusal, verdict.reason,
                  verdict.retry_after);
     return;
@@ -132,6 +132,20 @@
                                                      : IdVerdict::kFresh;
 }
 
+// Recorded, so that others say the same once this instance has gone. An adopted
+// id is used up as well: its age is judged by clocks that may step.
+auto RefuseExpired(Step& step, const CallerRequest& request) -> void {
+  const auto id = IdOf(request.call);
+  const auto& partner = PartnerOf(request.call);
+  if (id.incarnation != step.dispatcher.self) {
+    TakeId(step, id);
+  }
+  RecordRefusal(step, partner, id, Refusal::kIdExpired);
+  RememberRefusal(step, id, partner, Refusal::kIdExpired);
+  const auto refusal = RefusalFor(IdVerdict::kExpired);
+  ReplyRefused(step, request.reply_to, refusal.refusal, refusal.reason, {});
+}
+
 // Requests about an id that is not in memory.
 auto ServeAbsent(Step& step, const CallerRequest& request) -> void {
   const auto id = IdOf(request.call);
@@ -151,6 +165,9 @@
     case IdVerdict::kBelowRetained:
       LookUp(step, request);
       return;
+    case IdVerdict::kExpired:
+      RefuseExpired(step, request);
+      return;
     default: {
       const auto refusal = RefusalFor(verdict);
       ReplyRefused(step, request.reply_to, refusal.refusal, refusal.reason, {});
--- a/tests/servers/dispatcher/faults_test.cc
+++ b/tests/servers/dispatcher/faults_test.cc
@@ -117,6 +117,20 @@
   EXPECT_EQ(StateTold(*fleet, again), JobState::kRefused);
 }
 
+TEST_F(ThreeInstances, AnExpiredIdStaysRefusedAfterTheOwnersDeath) {
+  const auto id = FetchId(*fleet, 2).value();
+  Elapse(*fleet, kIdTerm + seconds(1));
+  const auto refused = Submit(*fleet, 2, MakeJob(id, 1));
+  Elapse(*fleet, seconds(2));
+  EXPECT_EQ(StateTold(*fleet, refused), JobState::kRefused);
+  Kill(*fleet, 2);
+  Boot(*fleet, 2);
+  Elapse(*fleet, seconds(5));
+  const auto again = Fetch(*fleet, 0, id);
+  Elapse(*fleet, seconds(5));
+  EXPECT_EQ(StateTold(*fleet, again), JobState::kRefused);
+}
+
 // Instance 1 still takes the address for that of the older process.
 TEST_F(ThreeInstances, ANewIncarnationIsNotGoneWhereItIsNotHeard) {
   Elapse(*fleet, seconds(30));
