--- a/tests/servers/dispatcher/faults_test.cc
+++ b/tests/servers/dispatcher/faults_test.cc
@@ -1,7 +1,8 @@
 // One fault after the other, each told as a story.
 #include <gtest/gtest.h>
 
-#include "tests/servers/dispatcher/virtual_fleet.h"
+#include "tests/servers/dispatcher/promise_checks.h"
+#include "tests/servers/dispatcher/virtual_callers.h"
 
 namespace boragecroft {
 namespace {
--- a/tests/servers/dispatcher/promises_test.cc
+++ b/tests/servers/dispatcher/promises_test.cc
@@ -3,7 +3,9 @@
 // After GoogleTest.
 #include <rapidcheck/gtest.h>
 
-#include "tests/servers/dispatcher/virtual_fleet.h"
+#include "tests/servers/dispatcher/promise_checks.h"
+#include "tests/servers/dispatcher/virtual_callers.h"
+#include "tests/servers/dispatcher/virtual_platform.h"
 
 namespace boragecroft {
 namespace {
--- /dev/null
+++ b/tests/servers/dispatcher/virtual_callers.h
@@ -0,0 +1,29 @@
+// Callers of a virtual fleet.
+#ifndef TESTS_SERVERS_DISPATCHER_VIRTUAL_CALLERS_H_
+#define TESTS_SERVERS_DISPATCHER_VIRTUAL_CALLERS_H_
+
+#include <optional>
+
+#include "tests/servers/dispatcher/virtual_fleet.h"
+
+namespace boragecroft {
+
+// Fetches an id from a node; empty when it gives none.
+auto FetchId(VirtualFleet& fleet, size_t node) -> std::optional<JobId>;
+auto MakeJob(const JobId& id,
+             uint32_t tasks,
+             const std::string& urgency_class = "confirmations",
+             bool repeatable = false) -> std::shared_ptr<Submission>;
+// Returns the number under which the replies are kept.
+auto Ask(VirtualFleet& fleet, size_t node, const CallerCall& call) -> uint64_t;
+auto Submit(VirtualFleet& fleet,
+            size_t node,
+            const std::shared_ptr<const Submission>& submission) -> uint64_t;
+auto Fetch(VirtualFleet& fleet, size_t node, const JobId& id) -> uint64_t;
+// The state that the last reply tells; kActive when there is none or it is
+// undecided.
+auto StateTold(const VirtualFleet& fleet, uint64_t number) -> JobState;
+
+}  // namespace boragecroft
+
+#endif  // TESTS_SERVERS_DISPATCHER_VIRTUAL_CALLERS_H_
--- /dev/null
+++ b/tests/servers/dispatcher/virtual_exchanges.cc
@@ -0,0 +1,108 @@
+#include "tests/servers/dispatcher/virtual_exchanges.h"
+
+#include "tests/servers/dispatcher/promise_checks.h"
+
+namespace boragecroft {
+namespace {
+
+auto Answer(VirtualFleet& fleet,
+            size_t node,
+            Incarnation self,
+            const AttemptOutcome& outcome,
+            milliseconds delay) -> void {
+  Later(fleet, delay, [&fleet, node, self, outcome] {
+    Deliver(fleet, node, self,
+            [outcome](Step& step) { OnAttemptOutcome(step, outcome); });
+  });
+}
+
+auto Arrive(VirtualFleet& fleet,
+            size_t node,
+            Incarnation self,
+            const StartAttempt& start) -> void {
+  auto& endpoint = fleet.endpoints[start.endpoint];
+  const auto run_time =
+      fleet.run_time + milliseconds(DrawBelow(fleet.random, 400));
+  AttemptOutcome outcome{.id = start.id};
+  outcome.end = ArriveStart(endpoint, start, run_time, fleet.now.boot);
+  if (outcome.end == ExchangeEnd::kDraining) {
+    fleet.known_leaving.emplace(std::pair(self, start.endpoint),
+                                fleet.now.boot);
+  }
+  if (outcome.end != ExchangeEnd::kRunning) {
+    Answer(fleet, node, self, outcome, milliseconds(1));
+    return;
+  }
+  Later(fleet, run_time + milliseconds(1),
+        [&fleet, node, self, start, outcome] {
+          auto ended = outcome;
+          auto& its = fleet.endpoints[start.endpoint];
+          Settle(its, fleet.now.boot);
+          ended.end = its.runs[start.id].end;
+          ended.text = its.runs[start.id].text;
+          auto delay = milliseconds(1);
+          if (Chance(fleet, fleet.rates.answer_lost)) {
+            ended.end = ExchangeEnd::kSilent;
+            delay = start.timeout;
+          } else if (Chance(fleet, fleet.rates.answer_garbled)) {
+            ended.end = ExchangeEnd::kProtocol;
+          }
+          Answer(fleet, node, self, ended, delay);
+        });
+}
+
+auto Do(VirtualFleet& fleet, size_t node, const StartAttempt& start) -> void {
+  const auto self = fleet.nodes[node].dispatcher->self;
+  CheckLeaving(fleet, self, start);
+  const AttemptOutcome silent{.id = start.id, .end = ExchangeEnd::kSilent};
+  if (Chance(fleet, fleet.rates.start_lost)) {
+    Answer(fleet, node, self, silent, start.timeout);
+    return;
+  }
+  const auto late = Chance(fleet, fleet.rates.start_late);
+  if (late) {
+    Answer(fleet, node, self, silent, milliseconds(50));
+  }
+  Later(fleet, milliseconds(late ? DrawBelow(fleet.random, 3000) : 1),
+        [&fleet, node, self, start] { Arrive(fleet, node, self, start); });
+}
+
+auto Do(VirtualFleet& fleet, size_t node, const QueryAttempt& query) -> void {
+  const auto self = fleet.nodes[node].dispatcher->self;
+  if (Chance(fleet, fleet.rates.query_lost)) {
+    Answer(fleet, node, self, {.id = query.id, .from_query = true},
+           query.timeout);
+    return;
+  }
+  Later(fleet, milliseconds(1 + DrawBelow(fleet.random, 30)),
+        [&fleet, node, self, query] {
+          Answer(fleet, node, self,
+                 ArriveQuery(fleet.endpoints[query.endpoint], query,
+                             fleet.now.boot),
+                 milliseconds(1 + DrawBelow(fleet.random, 30)));
+        });
+}
+
+auto Do(VirtualFleet& fleet, size_t /*node*/, const RenewLeases& renew)
+    -> void {
+  Settle(fleet.endpoints[renew.endpoint], fleet.now.boot);
+  for (const auto& it : renew.ids) {
+    const auto run = fleet.endpoints[renew.endpoint].runs.find(it);
+    if (run != fleet.endpoints[renew.endpoint].runs.end()) {
+      run->second.lease_until = fleet.now.boot + renew.lease;
+    }
+  }
+}
+
+// Late answers of an abandoned attempt come all the same: they must not count.
+auto Do(VirtualFleet&, size_t /*node*/, const AbandonAttempt&) -> void {}
+
+}  // namespace
+
+auto CarryToEndpoint(VirtualFleet& fleet,
+                     size_t node,
+                     const EndpointCommand& command) -> void {
+  std::visit([&](const auto& it) { Do(fleet, node, it); }, command);
+}
+
+}  // namespace boragecroft
--- a/tests/servers/dispatcher/virtual_fleet.h
+++ b/tests/servers/dispatcher/virtual_fleet.h
@@ -89,26 +89,18 @@
 auto Elapse(VirtualFleet& fleet, milliseconds time) -> void;
 // Ends all faults and runs on until everything can be settled.
 auto Heal(VirtualFleet& fleet) -> void;
-auto WriteConfiguration(VirtualFleet& fleet) -> void;
 
-// Fetches an id from a node; empty when it gives none.
-auto FetchId(VirtualFleet& fleet, size_t node) -> std::optional<JobId>;
-auto MakeJob(const JobId& id,
-             uint32_t tasks,
-             const std::string& urgency_class = "confirmations",
-             bool repeatable = false) -> std::shared_ptr<Submission>;
-// Returns the number under which the replies are kept.
-auto Ask(VirtualFleet& fleet, size_t node, const CallerCall& call) -> uint64_t;
-auto Submit(VirtualFleet& fleet,
-            size_t node,
-            const std::shared_ptr<const Submission>& submission) -> uint64_t;
-auto Fetch(VirtualFleet& fleet, size_t node, const JobId& id) -> uint64_t;
-// The state that the last reply tells; kActive when there is none or it is
-// undecided.
-auto StateTold(const VirtualFleet& fleet, uint64_t number) -> JobState;
-auto Starts(const VirtualFleet& fleet, const TaskId& task) -> uint32_t;
-// Checks what must hold when all is over; returns all violations.
-auto CheckAll(VirtualFleet& fleet) -> std::string;
+// For the parts of the fleet.
+using Event = std::function<void(Step&)>;
+
+// True in `percent` of all calls.
+auto Chance(VirtualFleet& fleet, uint32_t percent) -> bool;
+auto Later(VirtualFleet& fleet, milliseconds delay, std::function<void()> what)
+    -> void;
+// Passes the event to the node, when it still runs the incarnation `to` (zero:
+// any), and not before a pause is over.
+auto Deliver(VirtualFleet& fleet, size_t node, Incarnation to, Event event)
+    -> void;
 
 }  // namespace boragecroft
 
--- /dev/null
+++ b/tests/servers/dispatcher/virtual_peers.cc
@@ -0,0 +1,32 @@
+#include "tests/servers/dispatcher/virtual_peers.h"
+
+#include <algorithm>
+
+namespace boragecroft {
+
+auto CarryToPeer(VirtualFleet& fleet, size_t node, const SendToPeer& send)
+    -> void {
+  for (size_t to = 0; to < fleet.nodes.size(); ++to) {
+    if (fleet.nodes[to].settings.peer_address != send.to ||
+        fleet.cuts.contains(std::minmax(node, to)) ||
+        Chance(fleet, fleet.rates.peer_lost)) {
+      continue;
+    }
+    const auto copies = Chance(fleet, fleet.rates.peer_repeated) ? 2 : 1;
+    for (auto i = 0; i < copies; ++i) {
+      const auto late = Chance(fleet, fleet.rates.peer_late);
+      Later(fleet, milliseconds(1 + DrawBelow(fleet.random, late ? 3000 : 3)),
+            [&fleet, node, to, message = send.message] {
+              // The connection ended with its process.
+              const auto& sender = fleet.nodes[node].dispatcher;
+              if (sender == nullptr || sender->self != message.from) {
+                return;
+              }
+              Deliver(fleet, to, {},
+                      [message](Step& step) { OnPeerMessage(step, message); });
+            });
+    }
+  }
+}
+
+}  // namespace boragecroft
--- /dev/null
+++ b/tests/servers/dispatcher/virtual_peers.h
@@ -0,0 +1,14 @@
+// Carries messages between the instances of a virtual fleet.
+#ifndef TESTS_SERVERS_DISPATCHER_VIRTUAL_PEERS_H_
+#define TESTS_SERVERS_DISPATCHER_VIRTUAL_PEERS_H_
+
+#include "tests/servers/dispatcher/virtual_fleet.h"
+
+namespace boragecroft {
+
+auto CarryToPeer(VirtualFleet& fleet, size_t node, const SendToPeer& send)
+    -> void;
+
+}  // namespace boragecroft
+
+#endif  // TESTS_SERVERS_DISPATCHER_VIRTUAL_PEERS_H_
