--- a/tests/servers/dispatcher/faults_test.cc
+++ b/tests/servers/dispatcher/faults_test.cc
@@ -1,7 +1,8 @@
 // One fault after the other, each told as a story.
 #include <gtest/gtest.h>
 
-#include "tests/servers/dispatcher/virtual_fleet.h"
+#include "tests/servers/dispatcher/promise_checks.h"
+#include "tests/servers/dispatcher/virtual_callers.h"
 
 namespace boragecroft {
 namespace {
@@ -64,6 +65,44 @@
   EXPECT_EQ(TotalStarts(ran, 2), 2U);
 }
 
+struct AStopInAnOutage : ThreeInstances {
+  JobId ran;
+
+  auto SetUp() -> void override {
+    ran = FetchId(*fleet, 2).value();
+    fleet->platform_down = true;
+    const auto asked = Submit(*fleet, 2, MakeJob(ran, 2, "reminders"));
+    Elapse(*fleet, seconds(3));
+    ASSERT_EQ(StateTold(*fleet, asked), JobState::kDone);
+    Drain(*fleet, 2);
+    Elapse(*fleet, seconds(60));
+  }
+};
+
+TEST_F(AStopInAnOutage, OthersAnswerWhatTheStoppedInstanceAnswered) {
+  fleet->platform_down = false;
+  Elapse(*fleet, seconds(8));
+  ASSERT_EQ(fleet->nodes[2].dispatcher, nullptr);
+  Boot(*fleet, 2);
+  Elapse(*fleet, seconds(5));
+  const auto again = Fetch(*fleet, 0, ran);
+  Elapse(*fleet, seconds(5));
+  EXPECT_EQ(StateTold(*fleet, again), JobState::kDone);
+}
+
+TEST_F(AStopInAnOutage, ItAnswersForItsIdsUntilItsRecordsAreWritten) {
+  const auto again = Fetch(*fleet, 0, ran);
+  Elapse(*fleet, seconds(1));
+  EXPECT_EQ(StateTold(*fleet, again), JobState::kDone);
+}
+
+TEST_F(ThreeInstances, AnInstanceThatGaveNoIdStopsInAnOutage) {
+  fleet->platform_down = true;
+  Drain(*fleet, 2);
+  Elapse(*fleet, seconds(40));
+  EXPECT_EQ(fleet->nodes[2].dispatcher, nullptr);
+}
+
 TEST_F(ThreeInstances, ARefusalHoldsAfterTheOwnersDeath) {
   const auto id = FetchId(*fleet, 2).value();
   auto job = MakeJob(id, 1);
@@ -79,6 +118,35 @@
   EXPECT_EQ(StateTold(*fleet, again), JobState::kRefused);
 }
 
+TEST_F(ThreeInstances, AnExpiredIdStaysRefusedAfterTheOwnersDeath) {
+  const auto id = FetchId(*fleet, 2).value();
+  Elapse(*fleet, kIdTerm + seconds(1));
+  const auto refused = Submit(*fleet, 2, MakeJob(id, 1));
+  Elapse(*fleet, seconds(2));
+  EXPECT_EQ(StateTold(*fleet, refused), JobState::kRefused);
+  Kill(*fleet, 2);
+  Boot(*fleet, 2);
+  Elapse(*fleet, seconds(5));
+  const auto again = Fetch(*fleet, 0, id);
+  Elapse(*fleet, seconds(5));
+  EXPECT_EQ(StateTold(*fleet, again), JobState::kRefused);
+}
+
+// Instance 1 still takes the address for that of the older process.
+TEST_F(ThreeInstances, ANewIncarnationIsNotGoneWhereItIsNotHeard) {
+  Elapse(*fleet, seconds(30));
+  fleet->cuts.insert({1, 2});
+  Kill(*fleet, 2);
+  Boot(*fleet, 2);
+  Elapse(*fleet, seconds(5));
+  const auto id = FetchId(*fleet, 2).value();
+  Submit(*fleet, 1, MakeJob(id, 2));
+  Elapse(*fleet, seconds(5));
+  const auto asked = Submit(*fleet, 2, MakeJob(id, 2));
+  Elapse(*fleet, seconds(5));
+  EXPECT_EQ(StateTold(*fleet, asked), JobState::kDone);
+}
+
 struct OwnerDies : ThreeInstances, testing::WithParamInterface<int> {};
 
 TEST_P(OwnerDies, AtAnyMomentAndOthersTellWhatRan) {
--- a/tests/servers/dispatcher/readiness_test.cc
+++ b/tests/servers/dispatcher/readiness_test.cc
@@ -1,6 +1,8 @@
 // When an instance tells the balancer that it may be offered work.
 #include <gtest/gtest.h>
 
+#include "tests/servers/dispatcher/promise_checks.h"
+#include "tests/servers/dispatcher/virtual_callers.h"
 #include "tests/servers/dispatcher/virtual_fleet.h"
 
 namespace boragecroft {
--- a/tests/servers/dispatcher/stopped_peer_test.cc
+++ b/tests/servers/dispatcher/stopped_peer_test.cc
@@ -1,6 +1,8 @@
 // What the others do once an instance has stopped as planned.
 #include <gtest/gtest.h>
 
+#include "tests/servers/dispatcher/promise_checks.h"
+#include "tests/servers/dispatcher/virtual_callers.h"
 #include "tests/servers/dispatcher/virtual_fleet.h"
 
 namespace boragecroft {
--- a/tests/servers/membership/membership_test.cc
+++ b/tests/servers/membership/membership_test.cc
@@ -46,7 +46,11 @@
   }
 
   auto HasEnded(Incarnation incarnation, Instant now) const -> bool {
-    return IsGone(membership, incarnation, "santander-1", peer_address, now);
+    const RecordedInstance recorded{
+        .name = "santander-1",
+        .address = peer_address,
+        .started = WallTime(seconds(incarnation == kFirst ? 1 : 2))};
+    return IsGone(membership, incarnation, recorded, now);
   }
 };
 
