Name the process that a start, query or stop is meant for

Cause: an endpoint that restarts forgets its tasks and answers `not_started` to a stop, which is untrue when its earlier process ran the task. The dispatcher believed it: the task counted as not run, and was started again.

Ruled out: the list's `incarnation` alone lags and is optional; asking for the name before each first start misses a restart between the two.

Change: every answer of an endpoint names its process; starts, queries and stops name the one that they are meant for, and another refuses (`other_incarnation`). A refused start did not start and teaches the name. A refused query or stop, or `not_started` under another name or none, means `may_have_run`. The stand-in and the virtual endpoints follow, and restarts are drawn into the stories.

--- a/bench/path/main.cc
+++ b/bench/path/main.cc
@@ -66,8 +66,9 @@
       ParseAddress(worker.at("address").as_string().c_str()).value();
   request.target = "/v1/tasks";
   request.body = R"({"schema_version":1,"task":"straight-)" +
-                 std::to_string(number) +
-                 R"(/0","service":"logbook","kind":"default","lease_ms":5000,)"
+                 std::to_string(number) + R"(/0","incarnation":")" +
+                 worker.at("incarnation").as_string().c_str() +
+                 R"(","service":"logbook","kind":"default","lease_ms":5000,)"
                  R"("needs":{"cpu_millis":0,"memory_mb":0,"accelerators":0},)"
                  R"("payload":{"run_ms":)" +
                  std::to_string(task_run.count()) + "}}";
--- a/peers/endpoint/endpoint_codec.cc
+++ b/peers/endpoint/endpoint_codec.cc
@@ -8,12 +8,16 @@
 namespace boragecroft {
 namespace {
 
+// A longer name of an incarnation counts as none.
+constexpr size_t kMaxIncarnationBytes = 64;
+
 // Appends the payload as it stands: callers' JSON is checked once, when it is
 // accepted.
 auto StartBody(const StartAttempt& start) -> std::string {
   json::object body;
   body["schema_version"] = 1;
   body["task"] = ToString(start.id);
+  body["incarnation"] = start.incarnation;
   body["service"] = start.service;
   body["kind"] = start.kind;
   body["lease_ms"] = start.lease.count();
@@ -82,6 +86,8 @@
     outcome.end = ExchangeEnd::kDraining;
   } else if (state == "refused" && reason == "cannot_run") {
     outcome.end = ExchangeEnd::kCannotRun;
+  } else if (state == "refused" && reason == "other_incarnation") {
+    outcome.end = ExchangeEnd::kOtherIncarnation;
   } else if (state == "not_started" ||
              (state == "refused" && reason == "stopped")) {
     outcome.end = ExchangeEnd::kNotStarted;
@@ -113,6 +119,10 @@
   }
   AttemptOutcome outcome;
   outcome.id = id;
+  if (const auto name = MemberText(body, "incarnation");
+      name.size() <= kMaxIncarnationBytes) {
+    outcome.incarnation = name;
+  }
   if (!DecodeEnd(body, outcome)) {
     return ProtocolError(id, "the answer has no known state");
   }
@@ -134,6 +144,7 @@
     case ExchangeEnd::kBusy:
     case ExchangeEnd::kDraining:
     case ExchangeEnd::kCannotRun:
+    case ExchangeEnd::kOtherIncarnation:
     case ExchangeEnd::kNotStarted:
     case ExchangeEnd::kNotSent:
       return true;
@@ -143,6 +154,7 @@
     case ExchangeEnd::kProtocol:
     case ExchangeEnd::kRunning:
     case ExchangeEnd::kNotHeardOf:
+    case ExchangeEnd::kForgotten:
       return false;
   }
   return false;
@@ -166,6 +178,7 @@
 auto EncodeQuery(const QueryAttempt& query) -> HttpRequest {
   json::object body;
   body["task"] = ToString(query.id);
+  body["incarnation"] = query.incarnation;
   return ToRequest(query.stop ? "/v1/stop" : "/v1/status",
                    json::serialize(body));
 }
@@ -188,6 +201,8 @@
       outcome.end == ExchangeEnd::kDraining ||
       outcome.end == ExchangeEnd::kCannotRun) {
     outcome.end = ExchangeEnd::kSilent;
+  } else if (outcome.end == ExchangeEnd::kOtherIncarnation) {
+    outcome.end = ExchangeEnd::kForgotten;
   }
   return outcome;
 }
--- a/peers/endpoint/endpoint_messages.h
+++ b/peers/endpoint/endpoint_messages.h
@@ -31,6 +31,9 @@
 struct StartAttempt {
   AttemptId id;
   Address endpoint;
+  // Of the endpoint's process that is to run it; any other refuses. Empty while
+  // it is not known.
+  std::string incarnation;
   std::string service;
   std::string kind;
   Needs needs;
@@ -53,6 +56,7 @@
 struct QueryAttempt {
   AttemptId id;
   Address endpoint;
+  std::string incarnation;  // that its start named
   bool stop = false;
   milliseconds timeout{};
 };
@@ -69,16 +73,20 @@
 
 // How one attempt ended, as far as it is known.
 enum class ExchangeEnd : uint8_t {
-  kDone,        // the result is in `text`
-  kFailed,      // it started and failed; the reason is in `text`
-  kBusy,        // refused: no free slot; did not start
-  kDraining,    // refused: the endpoint is leaving; did not start
-  kCannotRun,   // refused: needs more than the worker has; did not start
-  kNotStarted,  // stopped before its start, for good
-  kRunning,     // answers a query: it started and has not ended
+  kDone,              // the result is in `text`
+  kFailed,            // it started and failed; the reason is in `text`
+  kBusy,              // refused: no free slot; did not start
+  kDraining,          // refused: the endpoint is leaving; did not start
+  kCannotRun,         // refused: needs more than the worker has; did not start
+  kOtherIncarnation,  // refused: meant for another process of the endpoint; did
+                      // not start
+  kNotStarted,        // stopped before its start, for good
+  kRunning,           // answers a query: it started and has not ended
   kNotHeardOf,  // answers a query: not there yet; its start may still be on its
                 // way
-  kNotSent,     // no byte of the request was sent; did not start
+  kForgotten,  // answers a query: another process answers now than the one that
+               // the start was sent to: may have run
+  kNotSent,    // no byte of the request was sent; did not start
   kSilent,  // sent, but no answer in time or the connection broke: may have run
   kProtocol,  // the answer breaks the interface or belongs to another task: may
               // have run
@@ -91,6 +99,7 @@
   AttemptId id;
   ExchangeEnd end = ExchangeEnd::kSilent;
   bool from_query = false;  // answers a QueryAttempt
+  std::string incarnation;  // of the process that answered; empty when unnamed
   std::string text;
 };
 
--- a/servers/dispatcher/counters.h
+++ b/servers/dispatcher/counters.h
@@ -26,6 +26,8 @@
   uint64_t attempts_failed = 0;
   uint64_t attempts_busy = 0;
   uint64_t attempts_draining = 0;
+  uint64_t attempts_other_incarnation = 0;
+  uint64_t attempts_forgotten = 0;
   uint64_t attempts_not_sent = 0;
   uint64_t attempts_silent = 0;
   uint64_t attempts_protocol_errors = 0;
@@ -74,6 +76,12 @@
      &Counters::attempts_busy},
     {"attempts_draining", "Attempts refused by a leaving endpoint",
      &Counters::attempts_draining},
+    {"attempts_other_incarnation",
+     "Attempts refused by an endpoint that had restarted",
+     &Counters::attempts_other_incarnation},
+    {"attempts_forgotten",
+     "Attempts whose endpoint restarted before it had answered",
+     &Counters::attempts_forgotten},
     {"attempts_not_sent", "Attempts that no connection could be had for",
      &Counters::attempts_not_sent},
     {"attempts_silent", "Attempts whose connection broke or went silent",
--- a/servers/dispatcher/state.h
+++ b/servers/dispatcher/state.h
@@ -90,6 +90,7 @@
 struct RunningAttempt {
   uint32_t number = 0;
   Address endpoint;
+  std::string incarnation;  // of the endpoint's process that it was meant for
   Ticket ticket;
   Instant started;
   Instant lease_renewed;
--- a/servers/dispatcher/task_settlement.cc
+++ b/servers/dispatcher/task_settlement.cc
@@ -25,10 +25,13 @@
       return EndpointAnswer::kDraining;
     case ExchangeEnd::kCannotRun:
       return EndpointAnswer::kCannotRun;
+    case ExchangeEnd::kOtherIncarnation:
+      return EndpointAnswer::kOtherIncarnation;
     case ExchangeEnd::kNotSent:
       return EndpointAnswer::kConnectFailed;
     case ExchangeEnd::kSilent:
     case ExchangeEnd::kProtocol:
+    case ExchangeEnd::kForgotten:
       return EndpointAnswer::kSilent;
     default:
       return EndpointAnswer::kRan;
@@ -38,6 +41,7 @@
 auto ToAttemptEnd(ExchangeEnd end) -> AttemptEnd {
   switch (end) {
     case ExchangeEnd::kBusy:
+    case ExchangeEnd::kOtherIncarnation:
       return AttemptEnd::kBusy;
     case ExchangeEnd::kDraining:
       return AttemptEnd::kDraining;
@@ -85,6 +89,12 @@
     case ExchangeEnd::kDraining:
       ++counters.attempts_draining;
       return;
+    case ExchangeEnd::kOtherIncarnation:
+      ++counters.attempts_other_incarnation;
+      return;
+    case ExchangeEnd::kForgotten:
+      ++counters.attempts_forgotten;
+      return;
     case ExchangeEnd::kNotSent:
       ++counters.attempts_not_sent;
       return;
@@ -225,12 +235,29 @@
   }
 }
 
+// Only the process that the start was sent to knows whether the task ran: that
+// another one, or one without a name, knows nothing of it shows nothing.
+auto EndByQuery(const RunningAttempt& attempt, const AttemptOutcome& outcome)
+    -> ExchangeEnd {
+  const auto& name = outcome.incarnation;
+  if (outcome.end == ExchangeEnd::kNotStarted &&
+      (name.empty() || name != attempt.incarnation)) {
+    return ExchangeEnd::kForgotten;
+  }
+  if (outcome.end == ExchangeEnd::kNotHeardOf && !name.empty() &&
+      name != attempt.incarnation) {
+    return ExchangeEnd::kForgotten;
+  }
+  return outcome.end;
+}
+
 auto OnQueryAnswer(Step& step,
                    const TaskId& task,
                    RunningAttempt& attempt,
                    const AttemptOutcome& outcome) -> void {
   attempt.query_open = false;
-  switch (outcome.end) {
+  const auto end = EndByQuery(attempt, outcome);
+  switch (end) {
     case ExchangeEnd::kRunning:
       attempt.queries = 0;
       attempt.next_query = step.now.boot + kQueryInterval;
@@ -256,7 +283,10 @@
     step.out.endpoints.emplace_back(
         AbandonAttempt{.id = outcome.id, .endpoint = attempt.endpoint});
   }
-  OnEnded(step, task, attempt.number, outcome.end, outcome.text);
+  OnEnded(step, task, attempt.number, end,
+          end == ExchangeEnd::kForgotten
+              ? "the endpoint restarted and does not know what ran before"
+              : outcome.text);
 }
 
 auto OnExchangeEnd(Step& step,
@@ -294,6 +324,7 @@
   if (it == running.end()) {
     return;
   }
+  NoteIncarnation(step.dispatcher.fleet, it->ticket, outcome.incarnation);
   if (outcome.from_query) {
     OnQueryAnswer(step, task, *it, outcome);
   } else {
@@ -363,6 +394,7 @@
   QueryAttempt query;
   query.id = AttemptId{.task = task, .attempt = attempt.number};
   query.endpoint = attempt.endpoint;
+  query.incarnation = attempt.incarnation;
   query.stop = stop;
   query.timeout = step.dispatcher.settings.query_timeout;
   step.out.endpoints.emplace_back(query);
--- a/servers/dispatcher/task_start.cc
+++ b/servers/dispatcher/task_start.cc
@@ -77,6 +77,7 @@
   RunningAttempt running;
   running.number = progress.next_number++;
   running.endpoint = dispatcher.fleet.workers[worker].listed.address;
+  running.incarnation = dispatcher.fleet.workers[worker].incarnation;
   running.ticket = OnStart(dispatcher.fleet, worker, job.submission->needs);
   running.started = step.now.boot;
   running.lease_renewed = step.now.boot;
@@ -85,6 +86,7 @@
   StartAttempt start;
   start.id = AttemptId{.task = task, .attempt = running.number};
   start.endpoint = running.endpoint;
+  start.incarnation = running.incarnation;
   start.service = job.submission->service;
   start.kind = job.submission->kind;
   start.needs = job.submission->needs;
--- a/servers/fleet/fleet.cc
+++ b/servers/fleet/fleet.cc
@@ -87,6 +87,10 @@
           now.boot +
           Doubled(kFirstBusyBackoff, kMaxBusyBackoff, worker.busy_answers);
       return;
+    case EndpointAnswer::kOtherIncarnation:
+      // Two processes that answer in turn must not be asked without a pause.
+      worker.backoff_until = now.boot + kFirstBusyBackoff;
+      return;
     case EndpointAnswer::kDraining:
       worker.draining = true;
       return;
@@ -103,6 +107,14 @@
   }
 }
 
+auto NoteIncarnation(Fleet& fleet,
+                     const Ticket& ticket,
+                     const std::string& incarnation) -> void {
+  if (!incarnation.empty()) {
+    fleet.workers[ticket.index].incarnation = incarnation;
+  }
+}
+
 auto CanEverRun(const Fleet& fleet,
                 const std::string& service,
                 const Needs& needs) -> bool {
--- a/servers/fleet/fleet.h
+++ b/servers/fleet/fleet.h
@@ -51,6 +51,8 @@
   WorkerId id;
   ListedWorker listed;
   WorkerState state = WorkerState::kLive;
+  // Of the process that answered last, or by the list. Starts name it.
+  std::string incarnation;
   double speed = 1;  // learned speed times straggler weight; set by the caller
 
   // Since when the lists lack it, and in how many of them.
@@ -109,8 +111,9 @@
   kBusy,
   kDraining,
   kCannotRun,
-  kConnectFailed,  // nothing was sent
-  kSilent,         // sent, and no answer came
+  kOtherIncarnation,  // refused: the start was meant for another process
+  kConnectFailed,     // nothing was sent
+  kSilent,            // sent, and no answer came
 };
 
 // A task in progress on a worker, to hand back with its answer.
@@ -129,6 +132,11 @@
               EndpointAnswer answer,
               Now now) -> void;
 
+// An answer named the process that the endpoint has now.
+auto NoteIncarnation(Fleet& fleet,
+                     const Ticket& ticket,
+                     const std::string& incarnation) -> void;
+
 // False only when the zone's workers of the service are known and each is too
 // small. A worker that is leaving or put aside counts: its successor may come.
 auto CanEverRun(const Fleet& fleet,
--- a/servers/fleet/worker_list.cc
+++ b/servers/fleet/worker_list.cc
@@ -67,6 +67,7 @@
   }
   fleet.workers[index].id = {++fleet.last_id};
   fleet.workers[index].listed = listed;
+  fleet.workers[index].incarnation = listed.incarnation;
   fleet.by_service[listed.service].push_back(index);
   return index;
 }
--- a/tests/peers/endpoint/endpoint_codec_fuzz_test.cc
+++ b/tests/peers/endpoint/endpoint_codec_fuzz_test.cc
@@ -65,5 +65,30 @@
   CheckOutcome(DecodeQueryAnswer(kId, answer));
 }
 
+TEST(EndpointCodecTest, ARefusalByAnotherProcessSaysNothingOfAnEarlierStart) {
+  HttpResponse response;
+  response.body = R"({"task":")" + ToString(kId) +
+                  R"(","incarnation":"b","state":"refused",)"
+                  R"("reason":"other_incarnation"})";
+  const auto start = DecodeStartAnswer(kId, response);
+  EXPECT_TRUE(CertainlyNotStarted(start.end));
+  EXPECT_EQ(start.incarnation, "b");
+  const auto query = DecodeQueryAnswer(kId, response);
+  EXPECT_FALSE(CertainlyNotStarted(query.end));
+  EXPECT_EQ(query.incarnation, "b");
+}
+
+TEST(EndpointCodecTest, StartsAndQueriesNameWhomTheyAreMeantFor) {
+  StartAttempt start;
+  start.incarnation = "a";
+  start.payload = "1";
+  QueryAttempt query;
+  query.incarnation = "a";
+  for (const auto& request : {EncodeStart(start), EncodeQuery(query)}) {
+    const auto body = ParseJson(request.body).value();
+    EXPECT_EQ(body.at("incarnation").as_string(), "a");
+  }
+}
+
 }  // namespace
 }  // namespace boragecroft
--- a/tests/process/endpoints_test.cc
+++ b/tests/process/endpoints_test.cc
@@ -84,6 +84,23 @@
   ServeIn("fail");
 }
 
+TEST_F(EndpointsInTrouble, RestartedOnesDoNotSayThatNothingRan) {
+  auto job = NewJob(0, 3, 10000);
+  Submit(Callers(0), job);
+  ASSERT_TRUE(Eventually(seconds(10), [&] {
+    return StartsOf(cluster.CountStarts(), job.id).tasks == job.tasks;
+  }));
+  boost::json::object control;
+  control["worker"] = -1;
+  control["restart"] = true;
+  cluster.ControlWorker(0, control);
+  const auto answer = ExpectOneAnswer(cluster, {0, 1}, job.id, job.partner);
+  EXPECT_EQ(CountTasks(answer, "may_have_run"), job.tasks);
+  ExpectTrue(answer, cluster.CountStarts(), job);
+  const auto next = NewJob(0, 8, 20);
+  EXPECT_EQ(Submit(Callers(0), next, seconds(5)).Text("state"), "done");
+}
+
 TEST_F(EndpointsInTrouble, AWorkerThatRefusesAsDrainingGetsNoNewWork) {
   SetMode("draining", 0);
   const auto draining = [&] {
--- a/tests/servers/dispatcher/faults_test.cc
+++ b/tests/servers/dispatcher/faults_test.cc
@@ -30,6 +30,39 @@
   EXPECT_EQ(TotalStarts(id, 5), 5U);
 }
 
+struct AnEndpointThatForgot : ThreeInstances,
+                              testing::WithParamInterface<bool> {};
+
+TEST_P(AnEndpointThatForgot, WhatItRanIsNotBelieved) {
+  for (auto& it : fleet->endpoints) {
+    it.second.named = GetParam();
+  }
+  const auto id = FetchId(*fleet, 0).value();
+  fleet->run_time = milliseconds(1000);
+  const auto asked = Submit(*fleet, 0, MakeJob(id, 2));
+  Elapse(*fleet, milliseconds(600));
+  ASSERT_EQ(TotalStarts(id, 2), 2U);
+  for (auto& it : fleet->endpoints) {
+    Restart(it.second);
+  }
+  Elapse(*fleet, seconds(8));
+  EXPECT_EQ(StateTold(*fleet, asked), JobState::kFailed);
+  EXPECT_EQ(TotalStarts(id, 2), 2U);
+}
+
+INSTANTIATE_TEST_SUITE_P(NamedAndUnnamed,
+                         AnEndpointThatForgot,
+                         testing::Bool());
+
+TEST_F(ThreeInstances, ARestartedEndpointGetsNewWork) {
+  for (auto& it : fleet->endpoints) {
+    Restart(it.second);
+  }
+  const auto asked = Submit(*fleet, 0, MakeJob(FetchId(*fleet, 0).value(), 5));
+  Elapse(*fleet, seconds(5));
+  EXPECT_EQ(StateTold(*fleet, asked), JobState::kDone);
+}
+
 struct AfterAPlannedStop : ThreeInstances {
   JobId ran;
   JobId unused;
--- a/tests/servers/dispatcher/promises_test.cc
+++ b/tests/servers/dispatcher/promises_test.cc
@@ -25,6 +25,7 @@
   kListLeaves,
   kConfiguration,
   kDrain,
+  kEndpointRestarts,
   kCount
 };
 
@@ -39,7 +40,8 @@
   const auto kinds = rc::gen::weightedOneOf<int>(
       {{6, rc::gen::just(0)},
        {5, rc::gen::inRange(1, 5)},
-       {6, rc::gen::inRange(5, static_cast<int>(Happening::kCount))}});
+       {6, rc::gen::inRange(5, static_cast<int>(Happening::kCount))},
+       {2, rc::gen::just(static_cast<int>(Happening::kEndpointRestarts))}});
   return rc::gen::apply(
       [](int kind, uint32_t pick, uint32_t wait) {
         return Moment{static_cast<Happening>(kind), pick, wait};
@@ -140,6 +142,9 @@
     case Happening::kDrain:
       Drain(fleet, node);
       return;
+    case Happening::kEndpointRestarts:
+      Restart(endpoint->second);
+      return;
     default:
       return;
   }
--- a/tests/servers/dispatcher/virtual_endpoint.cc
+++ b/tests/servers/dispatcher/virtual_endpoint.cc
@@ -18,11 +18,24 @@
   }
 }
 
+auto Restart(VirtualEndpoint& endpoint) -> void {
+  ++endpoint.incarnation;
+  endpoint.draining = false;
+  endpoint.runs.clear();
+}
+
+auto IncarnationName(const VirtualEndpoint& endpoint) -> std::string {
+  return endpoint.named ? std::to_string(endpoint.incarnation) : std::string();
+}
+
 auto ArriveStart(VirtualEndpoint& endpoint,
                  const StartAttempt& start,
                  milliseconds run_time,
                  Instant now) -> ExchangeEnd {
   Settle(endpoint, now);
+  if (endpoint.named && start.incarnation != IncarnationName(endpoint)) {
+    return ExchangeEnd::kOtherIncarnation;
+  }
   if (const auto it = endpoint.runs.find(start.id); it != endpoint.runs.end()) {
     return it->second.end;
   }
@@ -46,7 +59,13 @@
                  const QueryAttempt& query,
                  Instant now) -> AttemptOutcome {
   Settle(endpoint, now);
-  AttemptOutcome outcome{.id = query.id, .from_query = true};
+  AttemptOutcome outcome{.id = query.id,
+                         .from_query = true,
+                         .incarnation = IncarnationName(endpoint)};
+  if (endpoint.named && query.incarnation != outcome.incarnation) {
+    outcome.end = ExchangeEnd::kForgotten;
+    return outcome;
+  }
   const auto found = endpoint.runs.find(query.id);
   if (found == endpoint.runs.end()) {
     outcome.end =
--- a/tests/servers/dispatcher/virtual_endpoint.h
+++ b/tests/servers/dispatcher/virtual_endpoint.h
@@ -19,12 +19,18 @@
 struct VirtualEndpoint {
   uint32_t slots = 2;
   bool draining = false;
+  uint64_t incarnation = 1;
+  bool named = true;  // false: knows nothing of incarnations
   std::map<AttemptId, EndpointRun> runs;
   std::map<TaskId, uint32_t> starts;
 };
 
 // Settles what ended by `now`.
 auto Settle(VirtualEndpoint& endpoint, Instant now) -> void;
+// A new process at the same address: it knows nothing of what its predecessors
+// ran. `starts` goes on counting.
+auto Restart(VirtualEndpoint& endpoint) -> void;
+auto IncarnationName(const VirtualEndpoint& endpoint) -> std::string;
 // A start arrives. kRunning: it started and is answered when it ends.
 auto ArriveStart(VirtualEndpoint& endpoint,
                  const StartAttempt& start,
--- a/tests/servers/dispatcher/virtual_fleet.cc
+++ b/tests/servers/dispatcher/virtual_fleet.cc
@@ -179,7 +179,8 @@
   auto& endpoint = fleet.endpoints[start.endpoint];
   const auto run_time =
       fleet.run_time + milliseconds(DrawBelow(fleet.random, 400));
-  AttemptOutcome outcome{.id = start.id};
+  AttemptOutcome outcome{.id = start.id,
+                         .incarnation = IncarnationName(endpoint)};
   outcome.end = ArriveStart(endpoint, start, run_time, fleet.now.boot);
   if (outcome.end == ExchangeEnd::kDraining) {
     fleet.known_leaving.emplace(std::pair(self, start.endpoint),
@@ -189,22 +190,29 @@
     Answer(fleet, node, self, outcome, milliseconds(1));
     return;
   }
-  Later(fleet, run_time + milliseconds(1),
-        [&fleet, node, self, start, outcome] {
-          auto ended = outcome;
-          auto& its = fleet.endpoints[start.endpoint];
-          Settle(its, fleet.now.boot);
-          ended.end = its.runs[start.id].end;
-          ended.text = its.runs[start.id].text;
-          auto delay = milliseconds(1);
-          if (Chance(fleet, fleet.rates.answer_lost)) {
-            ended.end = ExchangeEnd::kSilent;
-            delay = start.timeout;
-          } else if (Chance(fleet, fleet.rates.answer_garbled)) {
-            ended.end = ExchangeEnd::kProtocol;
-          }
-          Answer(fleet, node, self, ended, delay);
-        });
+  Later(
+      fleet, run_time + milliseconds(1),
+      [&fleet, node, self, start, outcome, incarnation = endpoint.incarnation] {
+        auto ended = outcome;
+        auto& its = fleet.endpoints[start.endpoint];
+        if (its.incarnation != incarnation) {
+          // The connection broke with its process.
+          ended.end = ExchangeEnd::kSilent;
+          Answer(fleet, node, self, ended, milliseconds(1));
+          return;
+        }
+        Settle(its, fleet.now.boot);
+        ended.end = its.runs[start.id].end;
+        ended.text = its.runs[start.id].text;
+        auto delay = milliseconds(1);
+        if (Chance(fleet, fleet.rates.answer_lost)) {
+          ended.end = ExchangeEnd::kSilent;
+          delay = start.timeout;
+        } else if (Chance(fleet, fleet.rates.answer_garbled)) {
+          ended.end = ExchangeEnd::kProtocol;
+        }
+        Answer(fleet, node, self, ended, delay);
+      });
 }
 
 auto Do(VirtualFleet& fleet, size_t node, const StartAttempt& start) -> void {
--- a/tests/standins/endpoint/main.cc
+++ b/tests/standins/endpoint/main.cc
@@ -1,8 +1,10 @@
 // Stands in for the endpoints of one availability zone: many workers in one
 // process, a port for each. Prints the platform's list entries for them as one
 // JSON array, then "control PORT", then "ready". On the control port: POST
-// /control {"worker": INDEX or -1, "mode": MODE, "slowdown": N, "late_ms": N};
+// /control {"worker": INDEX or -1, "mode": MODE, "slowdown": N, "late_ms": N,
+// "restart": true};
 // GET /starts: {"tasks": [{"task", "starts", "state"}]}; GET /counters.
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/json/serialize.hpp>
@@ -42,6 +44,7 @@
   worker->name = zone.name + "-" + zone.service + "-" +
                  std::to_string(zone.workers.size());
   worker->slots = slots;
+  Restart(*worker);
   HttpServerCallbacks callbacks;
   callbacks.on_request = [it = worker.get()](const HttpRequest& request,
                                              HttpResponder respond) {
@@ -63,6 +66,9 @@
     if (body.contains("mode")) {
       worker.mode = ParseWorkerMode(TextOr(body, "mode", "normal"));
     }
+    if (body.contains("restart")) {
+      Restart(worker);
+    }
     worker.late_by =
         milliseconds(NumberOr(body, "late_ms", worker.late_by.count()));
     if (const auto* slowdown = body.if_contains("slowdown")) {
@@ -73,12 +79,14 @@
 
 auto Starts(const Zone& zone) -> json::object {
   json::array tasks;
+  const auto add = [&](const auto& it) {
+    tasks.push_back({{"task", it.first},
+                     {"starts", it.second.starts},
+                     {"state", it.second.state}});
+  };
   for (const auto& worker : zone.workers) {
-    for (const auto& it : worker->attempts) {
-      tasks.push_back({{"task", it.first},
-                       {"starts", it.second.starts},
-                       {"state", it.second.state}});
-    }
+    std::ranges::for_each(worker->attempts, add);
+    std::ranges::for_each(worker->forgotten, add);
   }
   json::object body;
   body["tasks"] = std::move(tasks);
@@ -130,6 +138,7 @@
          {"zone", zone.name},
          {"state", "live"},
          {"service", zone.service},
+         {"incarnation", it->incarnation},
          {"address", "127.0.0.1:" + std::to_string(it->server->Port())},
          {"slots", it->slots},
          {"cpu_millis", 32000},
--- a/tests/standins/endpoint/worker.cc
+++ b/tests/standins/endpoint/worker.cc
@@ -3,6 +3,7 @@
 #include <boost/json/serialize.hpp>
 #include <utility>
 
+#include "core/base/random.h"
 #include "tests/standins/common/json_reply.h"
 
 namespace boragecroft::standins {
@@ -10,18 +11,23 @@
 
 namespace json = boost::json;
 
-auto Refused(const std::string& task, std::string_view reason) -> json::object {
+auto Refused(const Worker& worker,
+             const std::string& task,
+             std::string_view reason) -> json::object {
   json::object body;
   body["task"] = task;
+  body["incarnation"] = worker.incarnation;
   body["state"] = "refused";
   body["reason"] = reason;
   return body;
 }
 
-auto EndBody(const std::string& task, const Attempt& attempt) -> HttpResponse {
+auto EndBody(const Worker& worker,
+             const std::string& task,
+             const Attempt& attempt) -> HttpResponse {
   HttpResponse response;
-  response.body =
-      "{\"task\":\"" + task + "\",\"state\":\"" + attempt.state + "\"";
+  response.body = "{\"task\":\"" + task + "\",\"incarnation\":\"" +
+                  worker.incarnation + "\",\"state\":\"" + attempt.state + "\"";
   response.body += attempt.state == "done"
                        ? ",\"result\":" + attempt.result + "}"
                        : ",\"reason\":\"as told\"}";
@@ -37,24 +43,25 @@
       worker.abandoned.push_back(respond);
       return;
     case WorkerMode::kCrossed:
-      respond(EndBody(task + "9", attempt));
+      respond(EndBody(worker, task + "9", attempt));
       return;
     case WorkerMode::kGarbled: {
-      auto response = EndBody(task, attempt);
+      auto response = EndBody(worker, task, attempt);
       response.body.resize(response.body.size() / 2);
       respond(std::move(response));
       return;
     }
     default:
-      respond(EndBody(task, attempt));
+      respond(EndBody(worker, task, attempt));
   }
 }
 
 auto End(Worker& worker, const std::string& task, std::string state) -> void {
-  auto& attempt = worker.attempts[task];
-  if (attempt.state != "running") {
+  const auto it = worker.attempts.find(task);
+  if (it == worker.attempts.end() || it->second.state != "running") {
     return;
   }
+  auto& attempt = it->second;
   attempt.state = std::move(state);
   attempt.timer->cancel();
   attempt.lease_timer->cancel();
@@ -124,17 +131,23 @@
       });
 }
 
+auto IsForAnother(const Worker& worker, const json::object& body) -> bool {
+  return TextOr(body, "incarnation", "") != worker.incarnation;
+}
+
 auto OnStart(Worker& worker, const json::object& body, HttpResponder respond)
     -> void {
   const auto task = TextOr(body, "task", "");
   const auto it = worker.attempts.find(task);
-  if (worker.mode == WorkerMode::kDraining) {
-    respond(JsonReply(503, Refused(task, "draining")));
+  if (IsForAnother(worker, body)) {
+    respond(JsonReply(409, Refused(worker, task, "other_incarnation")));
+  } else if (worker.mode == WorkerMode::kDraining) {
+    respond(JsonReply(503, Refused(worker, task, "draining")));
   } else if (it != worker.attempts.end() && it->second.state == "not_started") {
-    respond(JsonReply(409, Refused(task, "stopped")));
+    respond(JsonReply(409, Refused(worker, task, "stopped")));
   } else if (worker.running >= worker.slots) {
     ++worker.refused_busy;
-    respond(JsonReply(429, Refused(task, "busy")));
+    respond(JsonReply(429, Refused(worker, task, "busy")));
   } else {
     Start(worker, body, std::move(respond));
   }
@@ -153,23 +166,29 @@
 
 auto OnStop(Worker& worker, const json::object& body) -> HttpResponse {
   const auto task = TextOr(body, "task", "");
+  if (IsForAnother(worker, body)) {
+    return JsonReply(409, Refused(worker, task, "other_incarnation"));
+  }
   const auto [it, inserted] = worker.attempts.try_emplace(task);
   if (inserted) {
     it->second.state = "not_started";
   }
   End(worker, task, "stopped");
-  return EndBody(task, worker.attempts[task]);
+  return EndBody(worker, task, worker.attempts[task]);
 }
 
 auto OnStatus(const Worker& worker, const json::object& body) -> HttpResponse {
   const auto task = TextOr(body, "task", "");
+  if (IsForAnother(worker, body)) {
+    return JsonReply(409, Refused(worker, task, "other_incarnation"));
+  }
   const auto it = worker.attempts.find(task);
   if (it != worker.attempts.end()) {
-    return EndBody(task, it->second);
+    return EndBody(worker, task, it->second);
   }
   Attempt unknown;
   unknown.state = "unknown";
-  return EndBody(task, unknown);
+  return EndBody(worker, task, unknown);
 }
 
 }  // namespace
@@ -197,6 +216,23 @@
   }
 }
 
+auto Restart(Worker& worker) -> void {
+  for (auto& it : worker.attempts) {
+    auto& attempt = it.second;
+    if (attempt.timer != nullptr) {
+      attempt.timer->cancel();
+      attempt.lease_timer->cancel();
+    }
+    if (attempt.respond != nullptr) {
+      worker.abandoned.push_back(std::exchange(attempt.respond, nullptr));
+    }
+    worker.forgotten.emplace_back(it.first, std::move(attempt));
+  }
+  worker.attempts.clear();
+  worker.running = 0;
+  worker.incarnation = std::to_string(DrawEntropy());
+}
+
 auto ParseWorkerMode(std::string_view text) -> WorkerMode {
   constexpr std::pair<std::string_view, WorkerMode> kModes[] = {
       {"normal", WorkerMode::kNormal},   {"silent", WorkerMode::kSilent},
--- a/tests/standins/endpoint/worker.h
+++ b/tests/standins/endpoint/worker.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "core/http/http_server.h"
@@ -49,6 +50,9 @@
   uint64_t starts = 0;
   uint64_t requests = 0;
   std::unordered_map<std::string, Attempt> attempts;
+  std::string incarnation;  // of the process that it plays
+  std::vector<std::pair<std::string, Attempt>>
+      forgotten;                         // by Restart; counted all the same
   std::vector<HttpResponder> abandoned;  // requests that never get an answer
   std::unique_ptr<HttpServer> server;
 };
@@ -59,6 +63,9 @@
                      const HttpRequest& request,
                      HttpResponder respond) -> void;
 
+// Draws an incarnation. What ran before is forgotten without an answer.
+auto Restart(Worker& worker) -> void;
+
 auto ParseWorkerMode(std::string_view text) -> WorkerMode;
 
 }  // namespace boragecroft::standins
