List the unused ids in the closing row of a stopped instance

Cause: the successor knew neither what its predecessor had minted nor for whom. Any id with its incarnation that had no record was taken as fresh: of another partner, or made up.

Ruled out: a message to the successor (may be lost, or come after the caller); the partner within the id (tells nothing of ids never minted).

Change: a planned stop writes the ids that are neither used nor expired into the row that closes its ledger, as merged ranges with partner, minting and expiry, at most 256; beyond that the oldest are left out and refused as `id_expired`. The successor judges ids by this list. A row without the list is treated as before.

Before: `AfterAPlannedStop.AnId*` saw both tasks of each such job start. After: refused by both instances, with `wrong_partner` and `id_not_minted`, and nothing starts.

The virtual fleet's configuration has a second partner; the calls of `RequestClose` in tests take the list.

--- a/servers/dispatcher/draining.cc
+++ b/servers/dispatcher/draining.cc
@@ -64,7 +64,8 @@
   auto& dispatcher = step.dispatcher;
   if (dispatcher.active_jobs == 0 &&
       dispatcher.ledger.phase == LedgerPhase::kOpen) {
-    RequestClose(dispatcher.ledger, ChooseSuccessor(dispatcher, step.now.boot));
+    RequestClose(dispatcher.ledger, ChooseSuccessor(dispatcher, step.now.boot),
+                 CollectUnused(dispatcher.mint, step.now));
   }
 }
 
--- a/servers/dispatcher/owner_routing.cc
+++ b/servers/dispatcher/owner_routing.cc
@@ -21,7 +21,7 @@
 auto IsTakenOver(const Dispatcher& dispatcher, const JobId& id) -> bool {
   const auto found = dispatcher.adopted.find(id.incarnation);
   return found != dispatcher.adopted.end() &&
-         Contains(found->second, id.sequence);
+         Contains(found->second.used, id.sequence);
 }
 
 auto RelayTo(Step& step, const PeerInstance& owner, CallerRequest request)
--- a/servers/dispatcher/record_lookup.cc
+++ b/servers/dispatcher/record_lookup.cc
@@ -89,9 +89,10 @@
 auto PassToSuccessor(Step& step, const JobId& id, Incarnation successor)
     -> void {
   auto& dispatcher = step.dispatcher;
+  auto unused = dispatcher.lookups.at(id).unused;
   auto waiting = TakeWaiting(step, id);
   if (successor == dispatcher.self) {
-    dispatcher.adopted.try_emplace(id.incarnation);
+    dispatcher.adopted[id.incarnation].unused = std::move(unused);
     for (auto& it : waiting) {
       ServeOwnRequest(step, it);
     }
@@ -105,7 +106,7 @@
     } else {
       // The successor may be gone, too: then its own ledger says what became of
       // the id.
-      LookUpIn(step, successor, std::move(it));
+      LookUpIn(step, successor, std::move(it), unused);
     }
   }
 }
@@ -218,6 +219,10 @@
     Close(step, id, open.ledger, row);
     return;
   }
+  if (open.ledger == id.incarnation && incarnation && incarnation->unused) {
+    open.unused =
+        std::make_shared<const UnusedIds>(*std::move(incarnation->unused));
+  }
   open.lookup = BeginLookup(open.ledger, id, std::move(incarnation),
                             BoundsOf(dispatcher));
   Scan(step, id);
@@ -250,7 +255,10 @@
            std::move(request));
 }
 
-auto LookUpIn(Step& step, Incarnation ledger, CallerRequest request) -> void {
+auto LookUpIn(Step& step,
+              Incarnation ledger,
+              CallerRequest request,
+              std::shared_ptr<const UnusedIds> unused) -> void {
   auto& dispatcher = step.dispatcher;
   const auto id = IdOf(request.call);
   const auto found = dispatcher.lookups.find(id);
@@ -268,6 +276,7 @@
   open.id = id;
   open.ledger = ledger;
   open.started = step.now.boot;
+  open.unused = std::move(unused);
   open.waiting.push_back(std::move(request));
   dispatcher.lookups.emplace(id, std::move(open));
   ReadIncarnation(step, id);
--- a/servers/dispatcher/state.h
+++ b/servers/dispatcher/state.h
@@ -133,11 +133,20 @@
   Instant expires;
 };
 
+// Of an instance that stopped as planned and named this one as successor.
+struct AdoptedIds {
+  SequenceRanges used;  // that were unused then and were submitted here
+  // By its closing row; null when that does not list them.
+  std::shared_ptr<const UnusedIds> unused;
+};
+
 // Callers that wait for what the records say about an id.
 struct OpenLookup {
   JobId id;
   Incarnation ledger;
   Instant started;
+  // By the closing row of the incarnation that the id names, once read.
+  std::shared_ptr<const UnusedIds> unused;
   std::optional<Lookup> lookup;
   std::vector<CallerRequest> waiting;
 };
@@ -209,9 +218,7 @@
   std::unordered_map<JobId, OpenLookup> lookups;
   size_t open_claims = 0;  // of callers' keys
   Instant next_closing;    // closing gone ledgers is rate-limited
-  // By an instance that stopped as planned and named this one as successor: its
-  // ids that were unused then and were submitted here.
-  std::map<Incarnation, SequenceRanges> adopted;
+  std::map<Incarnation, AdoptedIds> adopted;
 
   uint64_t next_token = 1;
   std::unordered_map<uint64_t, PlatformContinuation> platform_calls;
--- a/servers/dispatcher/submitting.cc
+++ b/servers/dispatcher/submitting.cc
@@ -10,6 +10,8 @@
 #include "servers/dispatcher/owner_routing.h"
 #include "servers/dispatcher/record_flow.h"
 #include "servers/dispatcher/replies.h"
+#include "servers/identity/record_clock.h"
+#include "servers/identity/unused_ids.h"
 
 namespace boragecroft {
 namespace {
@@ -82,7 +84,7 @@
   if (id.incarnation == dispatcher.self) {
     return MarkUsed(dispatcher.mint, id, step.now);
   }
-  return Insert(dispatcher.adopted[id.incarnation],
+  return Insert(dispatcher.adopted[id.incarnation].used,
                 SequenceRange{.first = id.sequence, .last = id.sequence}) == 1;
 }
 
@@ -122,12 +124,17 @@
   if (id.incarnation == dispatcher.self) {
     return CheckId(dispatcher.mint, id, partner, now);
   }
-  // A stopped instance's batches are not known here: its ledger was just read
-  // and said that the id was never used, and the term is the same.
-  const auto& used = dispatcher.adopted.at(id.incarnation);
-  if (Contains(used, id.sequence)) {
+  // The ledger of the stopped instance was just read and said that the id was
+  // never used there.
+  const auto& adopted = dispatcher.adopted.at(id.incarnation);
+  if (Contains(adopted.used, id.sequence)) {
     return IdVerdict::kBelowRetained;
   }
+  if (adopted.unused != nullptr) {
+    return CheckUnused(*adopted.unused, id, partner,
+                       RecordTime(dispatcher.mint.started, now));
+  }
+  // Closed by a version that did not list what it had minted.
   return now.wall - id.minted > dispatcher.mint.term ? IdVerdict::kExpired
                                                      : IdVerdict::kFresh;
 }
--- a/servers/ledger/incarnation_row.cc
+++ b/servers/ledger/incarnation_row.cc
@@ -1,6 +1,8 @@
 #include "servers/ledger/incarnation_row.h"
 
+#include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
+#include <limits>
 #include <utility>
 
 #include "servers/ledger/keys.h"
@@ -11,6 +13,7 @@
 
 constexpr Range kSchemas{1, 1};
 constexpr Range kAnyTime{0, (int64_t{1} << 48U) - 1};
+constexpr Range kAnySequence{0, std::numeric_limits<int64_t>::max()};
 constexpr std::string_view kKeyStart = "incarnation/";
 
 auto ReadIncarnation(ObjectReader& reader, std::string_view key)
@@ -26,6 +29,45 @@
   return incarnation;
 }
 
+auto ReadTime(ObjectReader& reader, std::string_view key) -> WallTime {
+  return WallTime(milliseconds(reader.WholeOr(key, kAnyTime, 0)));
+}
+
+auto ReadSequence(ObjectReader& reader, std::string_view key) -> uint64_t {
+  return static_cast<uint64_t>(reader.Whole(key, kAnySequence));
+}
+
+auto ReadUnused(ObjectReader& reader) -> std::optional<UnusedIds> {
+  const auto dropped_through = ReadTime(reader, "unused_dropped_through_ms");
+  if (!reader.Has("unused")) {
+    return std::nullopt;
+  }
+  UnusedIds out;
+  out.dropped_through = dropped_through;
+  reader.Each("unused", [&](ObjectReader& it) {
+    UnusedRange range;
+    range.partner = it.Text("partner");
+    range.first = ReadSequence(it, "first");
+    range.last = ReadSequence(it, "last");
+    range.minted = ReadTime(it, "minted_ms");
+    range.expires = ReadTime(it, "expires_ms");
+    out.ranges.push_back(std::move(range));
+  });
+  return out;
+}
+
+auto ToJson(const UnusedIds& unused) -> json::array {
+  json::array out;
+  for (const auto& it : unused.ranges) {
+    out.push_back({{"partner", it.partner},
+                   {"first", it.first},
+                   {"last", it.last},
+                   {"minted_ms", it.minted.time_since_epoch().count()},
+                   {"expires_ms", it.expires.time_since_epoch().count()}});
+  }
+  return out;
+}
+
 auto ReadRow(ObjectReader& reader) -> IncarnationRow {
   IncarnationRow out;
   out.schema_version =
@@ -33,12 +75,12 @@
   out.instance = reader.TextOr("instance", "");
   out.zone = reader.TextOr("zone", "");
   out.address = reader.TextOr("address", "");
-  out.started =
-      WallTime(milliseconds(reader.WholeOr("started_ms", kAnyTime, 0)));
+  out.started = ReadTime(reader, "started_ms");
   out.closed = reader.Choice("state", {"open", "closed"}) == 1;
   out.closed_by = ReadIncarnation(reader, "closed_by");
   out.clean = reader.FlagOr("clean", false);
   out.successor = ReadIncarnation(reader, "successor");
+  out.unused = ReadUnused(reader);
   out.operation_id = reader.Text("operation_id");
   out.unknown_members = UnknownMembersOf(reader);
   return out;
@@ -84,6 +126,11 @@
   if (row.successor) {
     object["successor"] = ToString(*row.successor);
   }
+  if (row.unused) {
+    object["unused"] = ToJson(*row.unused);
+    object["unused_dropped_through_ms"] =
+        row.unused->dropped_through.time_since_epoch().count();
+  }
   object["operation_id"] = row.operation_id;
   AddUnknownMembers(object, row.unknown_members);
   return ToJsonText(json::value(std::move(object)));
@@ -113,6 +160,7 @@
   closed.closed_by = closing.closed_by;
   closed.clean = closing.clean;
   closed.successor = closing.successor;
+  closed.unused = closing.unused;
   closed.operation_id = closing.operation_id;
   const auto key = IncarnationKey(incarnation);
   return TableTransaction{
--- a/servers/ledger/incarnation_row.h
+++ b/servers/ledger/incarnation_row.h
@@ -12,6 +12,7 @@
 #include "core/base/ids.h"
 #include "core/base/result.h"
 #include "core/json/object_reader.h"
+#include "servers/identity/unused_ids.h"
 #include "servers/ledger/table.h"
 
 namespace boragecroft {
@@ -30,6 +31,8 @@
   bool clean = false;
   // The incarnation to which the owner handed its unused ids.
   std::optional<Incarnation> successor;
+  // These ids. Empty when a version that did not list them closed the row.
+  std::optional<UnusedIds> unused;
   std::string operation_id;  // of the transaction that wrote the row last
   std::string unknown_members;
 
@@ -49,6 +52,7 @@
   Incarnation closed_by;
   bool clean = false;
   std::optional<Incarnation> successor;
+  std::optional<UnusedIds> unused;
   std::string operation_id;  // unique for each call of CloseTransaction
 };
 
--- a/servers/ledger/ledger_writer.cc
+++ b/servers/ledger/ledger_writer.cc
@@ -302,8 +302,9 @@
   return Push(writer, std::move(pending), urgency);
 }
 
-auto RequestClose(LedgerWriter& writer, std::optional<Incarnation> successor)
-    -> bool {
+auto RequestClose(LedgerWriter& writer,
+                  std::optional<Incarnation> successor,
+                  UnusedIds unused) -> bool {
   if (writer.phase != LedgerPhase::kOpen || !writer.jobs.empty()) {
     return false;
   }
@@ -311,6 +312,9 @@
   writer.closing = Closing{.closed_by = writer.row.incarnation,
                            .clean = true,
                            .successor = successor};
+  if (successor) {
+    writer.closing->unused = std::move(unused);
+  }
   return true;
 }
 
--- a/servers/ledger/ledger_writer.h
+++ b/servers/ledger/ledger_writer.h
@@ -168,8 +168,9 @@
 // Writes what is pending, then closes the ledger. False, and nothing changes,
 // while a recorded job has no final entry or after the ledger ended. The caller
 // makes sure that unrecorded jobs have their final entries too.
-auto RequestClose(LedgerWriter& writer, std::optional<Incarnation> successor)
-    -> bool;
+auto RequestClose(LedgerWriter& writer,
+                  std::optional<Incarnation> successor,
+                  UnusedIds unused) -> bool;
 
 // The transaction to send now, or empty. Call again after each outcome and when
 // the interval has passed.
--- a/tests/servers/dispatcher/faults_test.cc
+++ b/tests/servers/dispatcher/faults_test.cc
@@ -76,6 +76,19 @@
     Elapse(*fleet, seconds(8));
     ASSERT_EQ(fleet->nodes[2].dispatcher, nullptr);
   }
+
+  auto ExpectRefused(const std::shared_ptr<const Submission>& job,
+                     Refusal refusal) -> void {
+    for (const size_t node : {0, 1}) {
+      const auto asked = Submit(*fleet, node, job);
+      Elapse(*fleet, seconds(5));
+      const auto& replies = fleet->asked.at(asked).replies;
+      ASSERT_EQ(replies.size(), 1U);
+      const auto* it = std::get_if<RefusalReply>(&replies.back());
+      ASSERT_NE(it, nullptr);
+      EXPECT_EQ(it->refusal, refusal);
+    }
+  }
 };
 
 TEST_F(AfterAPlannedStop, AnUnusedIdRunsOnceThroughAnotherInstance) {
@@ -97,6 +110,24 @@
   EXPECT_EQ(TotalStarts(ran, 2), 2U);
 }
 
+TEST_F(AfterAPlannedStop, AnIdOfAnotherPartnerIsRefusedEverywhere) {
+  auto job = MakeJob(unused, 2);
+  job->partner = "cobros";
+  ExpectRefused(job, Refusal::kWrongPartner);
+  EXPECT_EQ(TotalStarts(unused, 2), 0U);
+}
+
+TEST_F(AfterAPlannedStop, AnIdThatWasNeverMintedIsRefusedEverywhere) {
+  auto next = unused;
+  ++next.sequence;
+  auto elsewhen = unused;
+  elsewhen.minted += milliseconds(1);
+  for (const auto& it : {next, elsewhen}) {
+    ExpectRefused(MakeJob(it, 2), Refusal::kIdNotMinted);
+    EXPECT_EQ(TotalStarts(it, 2), 0U);
+  }
+}
+
 TEST_F(ThreeInstances, ARefusalHoldsAfterTheOwnersDeath) {
   const auto id = FetchId(*fleet, 2).value();
   auto job = MakeJob(id, 1);
--- a/tests/servers/dispatcher/virtual_fleet.cc
+++ b/tests/servers/dispatcher/virtual_fleet.cc
@@ -22,7 +22,8 @@
                "record_before_start": true, "record_before_answer": true},
               {"name": "reminders", "floor_percent": 40}],
   "teams": [{"name": "banks", "quota_tasks": 500}],
-  "partners": [{"name": "banco", "team": "banks"}],
+  "partners": [{"name": "banco", "team": "banks"},
+               {"name": "cobros", "team": "banks"}],
   "limits": {"id_term_ms": 40000}})";
 
 auto Chance(VirtualFleet& fleet, uint32_t percent) -> bool {
--- a/tests/servers/identity/id_mint_test.cc
+++ b/tests/servers/identity/id_mint_test.cc
@@ -9,6 +9,7 @@
 #include <unordered_map>
 
 #include "servers/identity/record_clock.h"
+#include "servers/identity/unused_ids.h"
 
 namespace boragecroft {
 namespace {
@@ -152,5 +153,52 @@
   }
 }
 
+// What a successor says of an id agrees with the mint that handed it out.
+RC_GTEST_PROP(UnusedIdsTest, TellWhatTheMintWould, ()) {
+  auto mint = MakeMint();
+  std::vector<JobId> ids;
+  const auto batches = *rc::gen::inRange(0, 12);
+  for (auto n = 0; n < batches; ++n) {
+    const auto partner = *rc::gen::element<std::string>("bank", "utility");
+    const auto now = At(mint, milliseconds(n * *rc::gen::inRange(0, 2000)));
+    auto id = Mint(mint, partner, *rc::gen::inRange<uint64_t>(1, 6), now);
+    for (; id.sequence < mint.next_sequence; ++id.sequence) {
+      ids.push_back(id);
+      if (*rc::gen::arbitrary<bool>()) {
+        RC_ASSERT(MarkUsed(mint, id, now));
+      }
+    }
+  }
+  const auto now = At(mint, milliseconds(*rc::gen::inRange(20000, 40000)));
+  const auto unused = CollectUnused(mint, now);
+  for (const auto& it : ids) {
+    for (const auto* partner : {"bank", "utility"}) {
+      const auto own = CheckId(mint, it, partner, now);
+      const auto said =
+          CheckUnused(unused, it, partner, RecordTime(mint.started, now));
+      RC_ASSERT((own == IdVerdict::kFresh) == (said == IdVerdict::kFresh));
+      if (said == IdVerdict::kWrongPartner) {
+        RC_ASSERT(own == IdVerdict::kWrongPartner);
+      }
+    }
+  }
+}
+
+TEST(UnusedIdsTest, WhatWasLeftOutIsNeverFreshAgain) {
+  auto mint = MakeMint();
+  std::vector<JobId> ids;
+  for (size_t n = 0; n < kMaxUnusedRanges + 2; ++n) {
+    ids.push_back(Mint(mint, "bank", 1, At(mint, milliseconds(n))));
+  }
+  const auto now = At(mint, seconds(5));
+  const auto unused = CollectUnused(mint, now);
+  const auto time = RecordTime(mint.started, now);
+  EXPECT_EQ(unused.ranges.size(), kMaxUnusedRanges);
+  EXPECT_EQ(CheckUnused(unused, ids[1], "bank", time), IdVerdict::kExpired);
+  EXPECT_EQ(CheckUnused(unused, ids[2], "bank", time), IdVerdict::kFresh);
+  ids[2].sequence = mint.next_sequence;
+  EXPECT_EQ(CheckUnused(unused, ids[2], "bank", time), IdVerdict::kNotMinted);
+}
+
 }  // namespace
 }  // namespace boragecroft
--- a/tests/servers/ledger/ledger_story_test.cc
+++ b/tests/servers/ledger/ledger_story_test.cc
@@ -197,7 +197,7 @@
       return;
     }
   }
-  RequestClose(world.writer, std::nullopt);
+  RequestClose(world.writer, std::nullopt, {});
 }
 
 auto Survive(World& world, uint8_t a, uint8_t b) -> void {
--- a/tests/servers/ledger/ledger_writer_test.cc
+++ b/tests/servers/ledger/ledger_writer_test.cc
@@ -213,15 +213,22 @@
 
 TEST_F(OpenLedgerTest, ClosesOnlyWhenEveryRecordedJobHasEnded) {
   Accept(1);
-  EXPECT_FALSE(RequestClose(writer_, std::nullopt));
+  EXPECT_FALSE(RequestClose(writer_, std::nullopt, {}));
   Finish(1, 10);
-  EXPECT_TRUE(RequestClose(writer_, Incarnation{0xB}));
+  const UnusedIds unused{.ranges = {{.partner = "banco",
+                                     .first = 3,
+                                     .last = 9,
+                                     .minted = WallTime(milliseconds(1000)),
+                                     .expires = WallTime(milliseconds(5000))}},
+                         .dropped_through = WallTime(milliseconds(900))};
+  EXPECT_TRUE(RequestClose(writer_, Incarnation{0xB}, unused));
   EXPECT_EQ(Finish(2, 10), AddVerdict::kEnded);
   EXPECT_EQ(Settle().finals.size(), 1U);
   EXPECT_TRUE(Settle().closed);
   const auto row = ParseIncarnationRow(Read(table_, IncarnationKey(kOwner)));
   EXPECT_TRUE(row.value().clean);
   EXPECT_EQ(row.value().successor, Incarnation{0xB});
+  EXPECT_EQ(row.value().unused, unused);
 }
 
 }  // namespace
