Refuse other work under a used id

Cause: a resubmission was matched by id and partner alone, so other work under the same id got the answer of the first and never ran, unnoticed.

Ruled out: keeping payloads to compare (memory); comparing the bytes of the body (another schema version or white space would differ); counting class, deadline and run time (a caller may send the time that is left, and defaults follow the declarations).

A submission that differs is refused with 422 `id_reused`, by the owner and from the records; its words send the caller to the first submission.

Before: `ThreeInstances.AnotherBodyUnderAUsedIdIsRefused` got the first job's answer, in progress, ended and after the owner's stop. After: refused in all three, through both instances; the same work with another class and deadline gets the job's answer. `dispatcher_tests`, `ledger_tests` and `caller_tests` pass.

--- a/peers/caller/caller_codec.cc
+++ b/peers/caller/caller_codec.cc
@@ -48,6 +48,7 @@
     case Refusal::kInvalid:
     case Refusal::kUnknownPartner:
     case Refusal::kCanNeverRun:
+    case Refusal::kIdReused:
       return 422;
     case Refusal::kWrongPartner:
       return 403;
--- a/peers/instance/instance_codec.cc
+++ b/peers/instance/instance_codec.cc
@@ -313,7 +313,7 @@
         .answer = std::make_shared<const CallerAnswer>(std::move(*answer))};
   }
   if (in.outcome == kRefusalOutcome && in.refusal >= 0 &&
-      in.refusal <= static_cast<int8_t>(Refusal::kNotReady)) {
+      in.refusal <= static_cast<int8_t>(Refusal::kIdReused)) {
     return RefusalReply{.refusal = static_cast<Refusal>(in.refusal),
                         .reason = std::move(in.reason),
                         .retry_after = milliseconds(in.retry_after_ms)};
--- a/servers/dispatcher/counters.h
+++ b/servers/dispatcher/counters.h
@@ -11,7 +11,7 @@
 namespace boragecroft {
 
 inline constexpr size_t kRefusalKinds =
-    static_cast<size_t>(Refusal::kNotReady) + 1;
+    static_cast<size_t>(Refusal::kIdReused) + 1;
 
 struct Counters {
   uint64_t ids_minted = 0;
--- a/servers/dispatcher/job_table.cc
+++ b/servers/dispatcher/job_table.cc
@@ -7,6 +7,7 @@
 #include "servers/dispatcher/record_flow.h"
 #include "servers/dispatcher/replies.h"
 #include "servers/dispatcher/task_flow.h"
+#include "servers/model/submission_digest.h"
 
 namespace boragecroft {
 namespace {
@@ -136,6 +137,7 @@
   const auto id = submission->id;
   auto& job = dispatcher.jobs[id];
   job.submission = std::move(submission);
+  job.digest = DigestOf(*job.submission);
   job.class_index = class_index;
   job.accepted = step.now.boot;
   job.deadline = step.now.boot + job.submission->deadline;
--- a/servers/dispatcher/record_flow.cc
+++ b/servers/dispatcher/record_flow.cc
@@ -105,6 +105,7 @@
   entry.tasks = static_cast<uint32_t>(job.tasks.size());
   entry.started_below = std::min(entry.tasks, kWatermarkWindow);
   entry.accepted = step.now.wall;
+  entry.digest = job.digest;
   const auto watermark = entry.started_below;
   const auto verdict =
       Add(dispatcher.ledger, entry, Urgency::kUrgent, step.now);
@@ -142,6 +143,7 @@
     entry.results = job.results;
   }
   entry.finished = step.now.wall;
+  entry.digest = job.digest;
   const auto* declared =
       FindClass(*InForce(step.dispatcher), job.submission->urgency_class);
   const auto urgent = declared != nullptr && declared->record_before_answer;
--- a/servers/dispatcher/record_lookup.cc
+++ b/servers/dispatcher/record_lookup.cc
@@ -75,6 +75,9 @@
                  "the id belongs to another partner", {});
     return;
   }
+  if (RefuseOtherWork(step, request, record.digest)) {
+    return;
+  }
   if (answer.state == JobState::kRefused) {
     const auto refusal = answer.refusal.value_or(Refusal::kInvalid);
     ReplyRefused(step, request.reply_to, refusal, "this id was refused", {});
--- a/servers/dispatcher/replies.cc
+++ b/servers/dispatcher/replies.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "servers/model/submission_digest.h"
+
 namespace boragecroft {
 
 auto Reply(Step& step, const ReplyTo& reply_to, CallerReplyBody body) -> void {
@@ -33,6 +35,20 @@
                      .retry_after = retry_after});
 }
 
+auto RefuseOtherWork(Step& step, const CallerRequest& request, uint64_t digest)
+    -> bool {
+  const auto* submit = std::get_if<SubmitRequest>(&request.call);
+  if (submit == nullptr || digest == 0 ||
+      DigestOf(*submit->submission) == digest) {
+    return false;
+  }
+  ReplyRefused(step, request.reply_to, Refusal::kIdReused,
+               "the id stands for another submission, which was taken: fetch "
+               "the id to see how that one stands",
+               {});
+  return true;
+}
+
 auto ReplyUndecided(Step& step, const ReplyTo& reply_to, std::string reason)
     -> void {
   Reply(step, reply_to,
--- a/servers/dispatcher/replies.h
+++ b/servers/dispatcher/replies.h
@@ -20,6 +20,10 @@
                   Refusal refusal,
                   std::string reason,
                   milliseconds retry_after) -> void;
+// Refuses a submission whose id stands for other work, of which `digest` is
+// known unless it is 0. Whether it did.
+auto RefuseOtherWork(Step& step, const CallerRequest& request, uint64_t digest)
+    -> bool;
 auto ReplyUndecided(Step& step, const ReplyTo& reply_to, std::string reason)
     -> void;
 
--- a/servers/dispatcher/state.h
+++ b/servers/dispatcher/state.h
@@ -68,6 +68,7 @@
 
 struct Job {
   std::shared_ptr<const Submission> submission;
+  uint64_t digest = 0;  // of the submission
   uint32_t class_index = 0;
   Instant accepted;
   Instant deadline;
--- a/servers/dispatcher/submitting.cc
+++ b/servers/dispatcher/submitting.cc
@@ -171,6 +171,9 @@
                  "the id belongs to another partner", {});
     return;
   }
+  if (RefuseOtherWork(step, request, job.digest)) {
+    return;
+  }
   milliseconds wait{};
   if (const auto* submit = std::get_if<SubmitRequest>(&request.call)) {
     ++step.dispatcher.counters.resubmissions;
--- a/servers/ledger/entries.h
+++ b/servers/ledger/entries.h
@@ -44,6 +44,7 @@
   uint32_t tasks = 0;
   uint32_t started_below = 0;  // the first watermark, as in WatermarkEntry
   WallTime accepted;
+  uint64_t digest = 0;  // of the submission; 0 when an older version wrote it
   std::string unknown_members;
 
   auto operator==(const AcceptedEntry&) const -> bool = default;
@@ -71,6 +72,7 @@
   std::vector<std::string> results;    // one JSON text a task; only when done
   bool results_dropped = false;        // done, but the results were not kept
   WallTime finished;
+  uint64_t digest = 0;  // as in AcceptedEntry
   std::string unknown_members;
 
   auto operator==(const FinalEntry&) const -> bool = default;
--- a/servers/ledger/job_record.cc
+++ b/servers/ledger/job_record.cc
@@ -11,6 +11,7 @@
   }
   record.accepted = entry;
   record.partner = entry.partner;
+  record.digest = entry.digest;
   record.started_below = std::max(record.started_below, entry.started_below);
 }
 
@@ -26,6 +27,7 @@
   }
   record.final_entry = entry;
   record.partner = entry.partner;
+  record.digest = entry.digest;
 }
 
 auto FoldEntry(JobRecord& record, const RefusedEntry& entry) -> void {
--- a/servers/ledger/job_record.h
+++ b/servers/ledger/job_record.h
@@ -23,6 +23,7 @@
 struct JobRecord {
   JobId job;
   std::string partner;  // who may see the answer; empty without an entry
+  uint64_t digest = 0;  // of the submission; 0 when not known
   std::optional<AcceptedEntry> accepted;
   uint32_t started_below = 0;             // the highest watermark
   std::optional<FinalEntry> final_entry;  // the first
--- a/servers/ledger/segment_reader.cc
+++ b/servers/ledger/segment_reader.cc
@@ -118,6 +118,13 @@
   return ranges;
 }
 
+// 16 hexadecimal digits; 0 when absent or unreadable.
+auto ReadDigest(ObjectReader& reader) -> uint64_t {
+  return ParseIncarnation(reader.TextOr("digest", ""))
+      .value_or(Incarnation{})
+      .value;
+}
+
 auto ReadAccepted(ObjectReader& reader, int schema_version) -> AcceptedEntry {
   AcceptedEntry entry;
   entry.job = ReadJobId(reader);
@@ -129,6 +136,7 @@
   entry.tasks = ReadCount(reader, "tasks");
   entry.started_below = ReadCount(reader, "started_below");
   entry.accepted = ReadTime(reader, "accepted_ms");
+  entry.digest = ReadDigest(reader);
   entry.unknown_members = UnknownMembersOf(reader);
   return entry;
 }
@@ -156,6 +164,7 @@
   entry.results = ReadResults(reader);
   entry.results_dropped = reader.FlagOr("results_dropped", false);
   entry.finished = ReadTime(reader, "finished_ms");
+  entry.digest = ReadDigest(reader);
   entry.unknown_members = UnknownMembersOf(reader);
   return entry;
 }
--- a/servers/ledger/segment_writer.cc
+++ b/servers/ledger/segment_writer.cc
@@ -46,6 +46,12 @@
   return array;
 }
 
+auto AddDigest(json::object& object, uint64_t digest) -> void {
+  if (digest != 0) {
+    object["digest"] = ToString(Incarnation{digest});
+  }
+}
+
 auto ToObject(const AcceptedEntry& entry, int schema_version) -> json::object {
   json::object object;
   object["type"] = "accepted";
@@ -58,6 +64,7 @@
   object["tasks"] = entry.tasks;
   object["started_below"] = entry.started_below;
   object["accepted_ms"] = MillisecondsOf(entry.accepted);
+  AddDigest(object, entry.digest);
   return object;
 }
 
@@ -90,6 +97,7 @@
     object["results_dropped"] = true;
   }
   object["finished_ms"] = MillisecondsOf(entry.finished);
+  AddDigest(object, entry.digest);
   return object;
 }
 
--- a/servers/model/submission.cc
+++ b/servers/model/submission.cc
@@ -41,6 +41,7 @@
     Named<Refusal>{Refusal::kDraining, "draining"},
     Named<Refusal>{Refusal::kOverloaded, "overloaded"},
     Named<Refusal>{Refusal::kNotReady, "not_ready"},
+    Named<Refusal>{Refusal::kIdReused, "id_reused"},
 };
 
 template <class Enum, size_t kSize>
--- a/servers/model/submission.h
+++ b/servers/model/submission.h
@@ -78,6 +78,7 @@
   kDraining,        // this instance is stopping
   kOverloaded,      // this instance cannot take more requests at the moment
   kNotReady,        // no configuration is in force yet
+  kIdReused,        // the id's job is another one; says nothing of that job
 };
 
 auto ToString(Refusal refusal) -> std::string_view;
