Bound the length of a kind

Cause: `kind` was the only text of a submission without a limit; run times are learned per kind and it goes into records and to endpoints. Now at most 200 bytes, as other names.

Before: `SubmissionFuzzTest.TextsThatAreTooLongAreNamed` saw a kind of 201 bytes taken. After: `caller_tests` pass.

--- a/peers/caller/submission_codec.cc
+++ b/peers/caller/submission_codec.cc
@@ -109,7 +109,7 @@
     reader.Fail("service", "\"" + submission.service + "\"",
                 "the name of a declared service");
   }
-  submission.kind = reader.TextOr("kind", "default");
+  submission.kind = reader.Has("kind") ? ReadName(reader, "kind") : "default";
 }
 
 auto ReadTimes(ObjectReader& reader,
--- a/tests/peers/caller/submission_fuzz_test.cc
+++ b/tests/peers/caller/submission_fuzz_test.cc
@@ -85,6 +85,23 @@
   CheckBody(ToJsonText(body));
 }
 
+// How the least submission is refused once a member is set to `value`.
+auto ErrorWith(std::string_view member, const json::value& value) -> ApiError {
+  auto body = ParseJson(PageExamples().at("submit-least")).value().as_object();
+  body[member] = value;
+  const auto submit = ParseSubmission(ToJsonText(body), PageConfiguration());
+  return submit.has_error() ? submit.error() : ApiError();
+}
+
+TEST(SubmissionFuzzTest, TextsThatAreTooLongAreNamed) {
+  for (const auto* member : {"kind", "partner", "service", "class", "key"}) {
+    const auto error = ErrorWith(member, json::string(201, 'x'));
+    EXPECT_EQ(error.code, ApiErrorCode::kInvalidField) << member;
+  }
+  EXPECT_EQ(ErrorWith("kind", json::string(201, 'x')).field, "kind");
+  EXPECT_TRUE(ErrorWith("kind", json::string(200, 'x')).reason.empty());
+}
+
 TEST(SubmissionFuzzTest, TooManyTasksAreRefusedWithTheirCode) {
   auto body = ParseJson(PageExamples().at("submit-least")).value().as_object();
   body["tasks"] = json::array(2001, json::value(1));
