Tell an empty list of tasks from one that is too long

Cause: every fault of `tasks` was answered as `too_many_tasks`, an empty list and a missing one too. An empty list is `no_tasks` now, a missing one or another type `invalid_field` with the field.

Before: `SubmissionFuzzTest.EachFaultOfTasksHasItsCode` saw `too_many_tasks` for all. After: `caller_tests` pass.

--- a/peers/caller/api_error.h
+++ b/peers/caller/api_error.h
@@ -14,6 +14,7 @@
   kMalformedJson,
   kInvalidField,
   kUnknownVersion,
+  kNoTasks,
   kTooManyTasks,
   kNoSuchResource,
   kMethodNotAllowed,
--- a/peers/caller/caller_codec.cc
+++ b/peers/caller/caller_codec.cc
@@ -33,6 +33,8 @@
       return {"invalid_field", 422};
     case ApiErrorCode::kUnknownVersion:
       return {"unknown_version", 422};
+    case ApiErrorCode::kNoTasks:
+      return {"no_tasks", 422};
     case ApiErrorCode::kTooManyTasks:
       return {"too_many_tasks", 422};
     case ApiErrorCode::kNoSuchResource:
--- a/peers/caller/submission_codec.cc
+++ b/peers/caller/submission_codec.cc
@@ -166,7 +166,20 @@
   }
 }
 
-auto ToApiError(const FieldError& error) -> ApiError {
+// Of a list that is no error, kInvalidField.
+auto CodeOfTasks(ObjectReader& reader, const Limits& limits) -> ApiErrorCode {
+  const auto* value = reader.Raw("tasks");
+  const auto* tasks = value == nullptr ? nullptr : value->if_array();
+  if (tasks != nullptr && tasks->empty()) {
+    return ApiErrorCode::kNoTasks;
+  }
+  return tasks != nullptr && tasks->size() > limits.max_tasks_per_job
+             ? ApiErrorCode::kTooManyTasks
+             : ApiErrorCode::kInvalidField;
+}
+
+auto ToApiError(const FieldError& error, ApiErrorCode code_of_tasks)
+    -> ApiError {
   ApiError out;
   out.code = ApiErrorCode::kInvalidField;
   out.field = error.field;
@@ -174,7 +187,7 @@
   if (error.field == "schema_version") {
     out.code = ApiErrorCode::kUnknownVersion;
   } else if (error.field == "tasks") {
-    out.code = ApiErrorCode::kTooManyTasks;
+    out.code = code_of_tasks;
   }
   return out;
 }
@@ -211,7 +224,8 @@
     reader.RejectUnknown();
   }
   if (!errors.empty()) {
-    return ToApiError(errors.front());
+    return ToApiError(errors.front(),
+                      CodeOfTasks(reader, configuration.limits));
   }
   request.submission = std::move(submission);
   return request;
--- a/tests/peers/caller/api_examples_test.cc
+++ b/tests/peers/caller/api_examples_test.cc
@@ -218,8 +218,8 @@
        {ApiErrorCode::kMalformedHttp, ApiErrorCode::kBodyTooLarge,
         ApiErrorCode::kHeadTooLarge, ApiErrorCode::kTooSlow,
         ApiErrorCode::kMalformedJson, ApiErrorCode::kInvalidField,
-        ApiErrorCode::kUnknownVersion, ApiErrorCode::kTooManyTasks,
-        ApiErrorCode::kNoSuchResource}) {
+        ApiErrorCode::kUnknownVersion, ApiErrorCode::kNoTasks,
+        ApiErrorCode::kTooManyTasks, ApiErrorCode::kNoSuchResource}) {
     ExpectRow(ToHttp(ApiError{.code = it}));
   }
 }
--- a/tests/peers/caller/submission_fuzz_test.cc
+++ b/tests/peers/caller/submission_fuzz_test.cc
@@ -102,6 +102,15 @@
   EXPECT_TRUE(ErrorWith("kind", json::string(200, 'x')).reason.empty());
 }
 
+TEST(SubmissionFuzzTest, EachFaultOfTasksHasItsCode) {
+  EXPECT_EQ(ErrorWith("tasks", json::array()).code, ApiErrorCode::kNoTasks);
+  for (const auto& it : {json::value(7), json::value(json::object())}) {
+    EXPECT_EQ(ErrorWith("tasks", it).code, ApiErrorCode::kInvalidField);
+  }
+  EXPECT_EQ(ErrorWith("tasks", json::array(2001, json::value(1))).code,
+            ApiErrorCode::kTooManyTasks);
+}
+
 TEST(SubmissionFuzzTest, TooManyTasksAreRefusedWithTheirCode) {
   auto body = ParseJson(PageExamples().at("submit-least")).value().as_object();
   body["tasks"] = json::array(2001, json::value(1));
