Answer a wrong method with 405 and the right one

Cause: the code `method_not_allowed` existed and nothing produced it; a wrong method on a known path was answered as 404 `no_such_resource`. Each resource for callers has one method, which `Allow` names now; `/healthz` and `/readyz` take any, as before.

Before: no request gave 405.

--- a/peers/caller/caller_server.cc
+++ b/peers/caller/caller_server.cc
@@ -61,6 +61,35 @@
                                    request.target.substr(0, 100)});
 }
 
+// The one method of a resource for callers; empty when there is none.
+auto MethodOf(const std::vector<std::string>& path) -> std::string_view {
+  if (path.size() < 2 || path[0] != "v1") {
+    return {};
+  }
+  if (path[1] == "ids") {
+    return path.size() == 2 ? "POST" : "";
+  }
+  if (path[1] != "jobs" || (path.size() > 2 && !ParseJobId(path[2]))) {
+    return {};
+  }
+  if (path.size() == 3) {
+    return "GET";
+  }
+  const auto cancels = path.size() == 4 && path[3] == "cancel";
+  return path.size() == 2 || cancels ? "POST" : "";
+}
+
+auto WrongMethod(const HttpRequest& request, std::string_view allowed)
+    -> HttpResponse {
+  auto response =
+      ToHttp(ApiError{.code = ApiErrorCode::kMethodNotAllowed,
+                      .field = "",
+                      .reason = "found " + request.method.substr(0, 20) +
+                                ", allowed: " + std::string(allowed)});
+  response.headers.push_back(HttpHeader{"Allow", std::string(allowed)});
+  return response;
+}
+
 auto StateResponse(bool good, std::string_view name) -> HttpResponse {
   json::object body;
   body[name] = good;
@@ -144,35 +173,26 @@
     respond(StateResponse(true, "live"));
   } else if (path.size() == 1 && path[0] == "readyz") {
     respond(StateResponse(view_.load()->ready, "ready"));
-  } else if (path.size() == 2 && path[0] == "v1" && path[1] == "ids" &&
-             request.method == "POST") {
+  } else if (const auto allowed = MethodOf(path); allowed.empty()) {
+    respond(NotFound(request));
+  } else if (request.method != allowed) {
+    respond(WrongMethod(request, allowed));
+  } else if (path[1] == "ids") {
     OnMint(request, respond);
-  } else if (path.size() >= 2 && path[0] == "v1" && path[1] == "jobs") {
-    OnJobs(request, path, std::move(respond));
   } else {
-    respond(NotFound(request));
+    OnJobs(request, path, std::move(respond));
   }
 }
 
 auto CallerServer::OnJobs(const HttpRequest& request,
                           const std::vector<std::string>& path,
                           HttpResponder respond) -> void {
-  if (path.size() == 2 && request.method == "POST") {
+  if (path.size() == 2) {
     OnSubmit(request, respond);
-    return;
-  }
-  const auto id = path.size() > 2 ? ParseJobId(path[2]) : std::nullopt;
-  if (!id) {
-    respond(NotFound(request));
-    return;
-  }
-  if (path.size() == 3 && request.method == "GET") {
-    OnFetch(request, *id, std::move(respond));
-  } else if (path.size() == 4 && path[3] == "cancel" &&
-             request.method == "POST") {
-    OnCancel(request, *id, respond);
+  } else if (path.size() == 3) {
+    OnFetch(request, *ParseJobId(path[2]), std::move(respond));
   } else {
-    respond(NotFound(request));
+    OnCancel(request, *ParseJobId(path[2]), respond);
   }
 }
 
--- a/tests/peers/caller/api_examples_test.cc
+++ b/tests/peers/caller/api_examples_test.cc
@@ -219,7 +219,8 @@
         ApiErrorCode::kHeadTooLarge, ApiErrorCode::kTooSlow,
         ApiErrorCode::kMalformedJson, ApiErrorCode::kInvalidField,
         ApiErrorCode::kUnknownVersion, ApiErrorCode::kNoTasks,
-        ApiErrorCode::kTooManyTasks, ApiErrorCode::kNoSuchResource}) {
+        ApiErrorCode::kTooManyTasks, ApiErrorCode::kNoSuchResource,
+        ApiErrorCode::kMethodNotAllowed}) {
     ExpectRow(ToHttp(ApiError{.code = it}));
   }
 }
--- a/tests/process/bad_input_test.cc
+++ b/tests/process/bad_input_test.cc
@@ -75,6 +75,26 @@
   ExpectGoesOn();
 }
 
+TEST_F(ABadRequest, WithAnotherMethodIsToldTheRightOne) {
+  const auto id = NewJob(0, 1, 10).id;
+  const std::pair<std::string, std::string> resources[] = {
+      {"DELETE /v1/ids", "POST"},
+      {"PUT /v1/jobs", "POST"},
+      {"POST /v1/jobs/" + id, "GET"},
+      {"GET /v1/jobs/" + id + "/cancel", "POST"}};
+  for (const auto& [request, allowed] : resources) {
+    const RawConnection connection(Callers(0));
+    connection.Send(request + " HTTP/1.1\r\nHost: test\r\n\r\n");
+    const auto response = connection.ReadAll(kSilence);
+    EXPECT_TRUE(response.starts_with("HTTP/1.1 405")) << response;
+    EXPECT_NE(response.find("\r\nAllow: " + allowed + "\r\n"),
+              std::string::npos)
+        << response;
+    ExpectNotRun(BodyOf(response), "method_not_allowed");
+  }
+  ExpectGoesOn();
+}
+
 TEST_F(ABadRequest, WhoseBodyIsTooLargeIsRefusedBeforeItIsRead) {
   const RawConnection connection(Callers(0));
   connection.Send(Head(kTooLarge));
