Refuse bodies with a member twice

Cause: the JSON library keeps the last of two members with one name, so a body with two ids, or a payload with two values, was taken without a word. The text of a caller's body is now read once more for repetitions (`core/json/repeated_member.h`), payloads included; the answer is `invalid_field` with the path.

Ruled out: counting members of the parsed value against the text's, which finds that but not where; looking at the outer members only, since a payload would still change unnoticed.

Before: `SubmissionFuzzTest.RepeatedMembersAreNamed` saw such bodies taken.

--- /dev/null
+++ b/peers/caller/caller_body.h
@@ -0,0 +1,18 @@
+// What all bodies of callers have in common.
+#ifndef PEERS_CALLER_CALLER_BODY_H_
+#define PEERS_CALLER_CALLER_BODY_H_
+
+#include <string_view>
+
+#include "core/base/result.h"
+#include "core/json/text.h"
+#include "peers/caller/api_error.h"
+
+namespace boragecroft {
+
+// Strict JSON without repeated members, or the error to answer with.
+auto ParseCallerBody(std::string_view body) -> Result<json::value, ApiError>;
+
+}  // namespace boragecroft
+
+#endif  // PEERS_CALLER_CALLER_BODY_H_
--- a/peers/caller/caller_codec.cc
+++ b/peers/caller/caller_codec.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "core/json/object_reader.h"
+#include "peers/caller/caller_body.h"
 #include "peers/caller/submission_codec.h"
 
 namespace boragecroft {
@@ -207,11 +208,9 @@
 }  // namespace
 
 auto ParseMint(std::string_view body) -> Result<ParsedMint, ApiError> {
-  const auto document = ParseJson(body);
+  const auto document = ParseCallerBody(body);
   if (document.has_error()) {
-    return ApiError{.code = ApiErrorCode::kMalformedJson,
-                    .field = "",
-                    .reason = document.error().reason};
+    return document.error();
   }
   std::vector<FieldError> errors;
   ObjectReader reader(document.value(), "", errors);
--- a/peers/caller/submission_codec.cc
+++ b/peers/caller/submission_codec.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "core/json/object_reader.h"
+#include "peers/caller/caller_body.h"
 
 namespace boragecroft {
 namespace {
@@ -196,13 +197,9 @@
 
 auto ParseSubmission(std::string_view body, const Configuration& configuration)
     -> Result<SubmitRequest, ApiError> {
-  const auto document = ParseJson(body);
+  const auto document = ParseCallerBody(body);
   if (document.has_error()) {
-    const auto& error = document.error();
-    return ApiError{
-        .code = ApiErrorCode::kMalformedJson,
-        .field = "",
-        .reason = error.reason + " at byte " + std::to_string(error.offset)};
+    return document.error();
   }
   std::vector<FieldError> errors;
   ObjectReader reader(document.value(), "", errors);
--- /dev/null
+++ b/tests/core/json/repeated_member_test.cc
@@ -0,0 +1,45 @@
+#include "core/json/repeated_member.h"
+
+#include <gtest/gtest.h>
+
+#include "core/json/text.h"
+// After GoogleTest.
+#include <rapidcheck/gtest.h>
+
+namespace boragecroft {
+namespace {
+
+TEST(RepeatedMemberTest, IsNamedByItsPath) {
+  EXPECT_EQ(FindRepeatedMember(R"({"a":1,"b":2,"a":3})"), "a");
+  EXPECT_EQ(FindRepeatedMember(R"({"needs":{"m":1,"m":1}})"), "needs.m");
+  EXPECT_EQ(FindRepeatedMember(R"({"t":[1,"x",{"a":[],"b":{"c":1,"c":2}}]})"),
+            "t[2].b.c");
+  EXPECT_EQ(FindRepeatedMember(R"([[0],[{"a":1,"\u0061":1}]])"), "[1][0].a");
+}
+
+TEST(RepeatedMemberTest, IsNoneAcrossObjects) {
+  EXPECT_FALSE(FindRepeatedMember(R"({"a":{"a":1},"b":[{"a":1},{"a":1}]})"));
+  EXPECT_FALSE(FindRepeatedMember(R"({"a":1,"b)"));
+}
+
+auto AnyValue(int depth) -> json::value {
+  const auto kind = *rc::gen::inRange(0, depth > 0 ? 6 : 4);
+  if (kind < 4) {
+    const json::value plain[] = {nullptr, true, -1.5, "a"};
+    return plain[kind];
+  }
+  json::array array;
+  json::object object;
+  for (auto n = *rc::gen::inRange(0, 4); n > 0; --n) {
+    array.push_back(AnyValue(depth - 1));
+    object[*rc::gen::element<std::string>("a", "b", "\n")] = array.back();
+  }
+  return kind == 4 ? json::value(array) : json::value(object);
+}
+
+RC_GTEST_PROP(RepeatedMemberTest, IsNoneInWhatWasPrinted, ()) {
+  RC_ASSERT(!FindRepeatedMember(ToJsonText(AnyValue(4))));
+}
+
+}  // namespace
+}  // namespace boragecroft
--- a/tests/peers/caller/submission_fuzz_test.cc
+++ b/tests/peers/caller/submission_fuzz_test.cc
@@ -111,6 +111,27 @@
             ApiErrorCode::kTooManyTasks);
 }
 
+TEST(SubmissionFuzzTest, RepeatedMembersAreNamed) {
+  const auto example = PageExamples().at("submit-least");
+  for (const auto& [repeated, field] :
+       std::vector<std::pair<std::string, std::string>>{
+           {R"("partner": "agents", )", "partner"},
+           {R"("needs": {"memory_mb": 1, "memory_mb": 2}, )",
+            "needs.memory_mb"},
+           {R"("tasks": [0, {"a": 1, "a": 1}], )", "tasks[1].a"}}) {
+    auto body = example;
+    body.insert(1, repeated);
+    const auto submit = ParseSubmission(body, PageConfiguration());
+    ASSERT_TRUE(submit.has_error());
+    EXPECT_EQ(submit.error().code, ApiErrorCode::kInvalidField);
+    EXPECT_EQ(submit.error().field, field);
+  }
+  const auto mint =
+      ParseMint(R"({"schema_version":2,"partner":"a","count":1,"count":2})");
+  ASSERT_TRUE(mint.has_error());
+  EXPECT_EQ(mint.error().field, "count");
+}
+
 TEST(SubmissionFuzzTest, TooManyTasksAreRefusedWithTheirCode) {
   auto body = ParseJson(PageExamples().at("submit-least")).value().as_object();
   body["tasks"] = json::array(2001, json::value(1));
