--- a/peers/caller/caller_codec.cc
+++ b/peers/caller/caller_codec.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "core/json/object_reader.h"
+#include "peers/caller/caller_body.h"
 #include "peers/caller/submission_codec.h"
 
 namespace boragecroft {
@@ -33,6 +34,8 @@
       return {"invalid_field", 422};
     case ApiErrorCode::kUnknownVersion:
       return {"unknown_version", 422};
+    case ApiErrorCode::kNoTasks:
+      return {"no_tasks", 422};
     case ApiErrorCode::kTooManyTasks:
       return {"too_many_tasks", 422};
     case ApiErrorCode::kNoSuchResource:
@@ -48,6 +51,7 @@
     case Refusal::kInvalid:
     case Refusal::kUnknownPartner:
     case Refusal::kCanNeverRun:
+    case Refusal::kIdReused:
       return 422;
     case Refusal::kWrongPartner:
       return 403;
@@ -204,11 +208,9 @@
 }  // namespace
 
 auto ParseMint(std::string_view body) -> Result<ParsedMint, ApiError> {
-  const auto document = ParseJson(body);
+  const auto document = ParseCallerBody(body);
   if (document.has_error()) {
-    return ApiError{.code = ApiErrorCode::kMalformedJson,
-                    .field = "",
-                    .reason = document.error().reason};
+    return document.error();
   }
   std::vector<FieldError> errors;
   ObjectReader reader(document.value(), "", errors);
--- a/peers/caller/submission_codec.cc
+++ b/peers/caller/submission_codec.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "core/json/object_reader.h"
+#include "peers/caller/caller_body.h"
 
 namespace boragecroft {
 namespace {
@@ -109,7 +110,7 @@
     reader.Fail("service", "\"" + submission.service + "\"",
                 "the name of a declared service");
   }
-  submission.kind = reader.TextOr("kind", "default");
+  submission.kind = reader.Has("kind") ? ReadName(reader, "kind") : "default";
 }
 
 auto ReadTimes(ObjectReader& reader,
@@ -166,7 +167,20 @@
   }
 }
 
-auto ToApiError(const FieldError& error) -> ApiError {
+// Of a list that is no error, kInvalidField.
+auto CodeOfTasks(ObjectReader& reader, const Limits& limits) -> ApiErrorCode {
+  const auto* value = reader.Raw("tasks");
+  const auto* tasks = value == nullptr ? nullptr : value->if_array();
+  if (tasks != nullptr && tasks->empty()) {
+    return ApiErrorCode::kNoTasks;
+  }
+  return tasks != nullptr && tasks->size() > limits.max_tasks_per_job
+             ? ApiErrorCode::kTooManyTasks
+             : ApiErrorCode::kInvalidField;
+}
+
+auto ToApiError(const FieldError& error, ApiErrorCode code_of_tasks)
+    -> ApiError {
   ApiError out;
   out.code = ApiErrorCode::kInvalidField;
   out.field = error.field;
@@ -174,7 +188,7 @@
   if (error.field == "schema_version") {
     out.code = ApiErrorCode::kUnknownVersion;
   } else if (error.field == "tasks") {
-    out.code = ApiErrorCode::kTooManyTasks;
+    out.code = code_of_tasks;
   }
   return out;
 }
@@ -183,13 +197,9 @@
 
 auto ParseSubmission(std::string_view body, const Configuration& configuration)
     -> Result<SubmitRequest, ApiError> {
-  const auto document = ParseJson(body);
+  const auto document = ParseCallerBody(body);
   if (document.has_error()) {
-    const auto& error = document.error();
-    return ApiError{
-        .code = ApiErrorCode::kMalformedJson,
-        .field = "",
-        .reason = error.reason + " at byte " + std::to_string(error.offset)};
+    return document.error();
   }
   std::vector<FieldError> errors;
   ObjectReader reader(document.value(), "", errors);
@@ -211,7 +221,8 @@
     reader.RejectUnknown();
   }
   if (!errors.empty()) {
-    return ToApiError(errors.front());
+    return ToApiError(errors.front(),
+                      CodeOfTasks(reader, configuration.limits));
   }
   request.submission = std::move(submission);
   return request;
--- a/servers/dispatcher/owner_routing.cc
+++ b/servers/dispatcher/owner_routing.cc
@@ -36,7 +36,7 @@
 auto IsTakenOver(const Dispatcher& dispatcher, const JobId& id) -> bool {
   const auto found = dispatcher.adopted.find(id.incarnation);
   return found != dispatcher.adopted.end() &&
-         Contains(found->second, id.sequence);
+         Contains(found->second.used, id.sequence);
 }
 
 auto RelayTo(Step& step, const PeerInstance& owner, CallerRequest request)
--- a/servers/dispatcher/state.h
+++ b/servers/dispatcher/state.h
@@ -68,6 +68,7 @@
 
 struct Job {
   std::shared_ptr<const Submission> submission;
+  uint64_t digest = 0;  // of the submission
   uint32_t class_index = 0;
   Instant accepted;
   Instant deadline;
@@ -90,6 +91,7 @@
 struct RunningAttempt {
   uint32_t number = 0;
   Address endpoint;
+  std::string incarnation;  // of the endpoint's process that it was meant for
   Ticket ticket;
   Instant started;
   Instant lease_renewed;
@@ -132,11 +134,20 @@
   Instant expires;
 };
 
+// Of an instance that stopped as planned and named this one as successor.
+struct AdoptedIds {
+  SequenceRanges used;  // that were unused then and were submitted here
+  // By its closing row; null when that does not list them.
+  std::shared_ptr<const UnusedIds> unused;
+};
+
 // Callers that wait for what the records say about an id.
 struct OpenLookup {
   JobId id;
   Incarnation ledger;
   Instant started;
+  // By the closing row of the incarnation that the id names, once read.
+  std::shared_ptr<const UnusedIds> unused;
   std::optional<Lookup> lookup;
   std::vector<CallerRequest> waiting;
 };
@@ -208,9 +219,7 @@
   std::unordered_map<JobId, OpenLookup> lookups;
   size_t open_claims = 0;  // of callers' keys
   Instant next_closing;    // closing gone ledgers is rate-limited
-  // By an instance that stopped as planned and named this one as successor: its
-  // ids that were unused then and were submitted here.
-  std::map<Incarnation, SequenceRanges> adopted;
+  std::map<Incarnation, AdoptedIds> adopted;
 
   uint64_t next_token = 1;
   std::unordered_map<uint64_t, PlatformContinuation> platform_calls;
--- a/tests/peers/caller/api_examples_test.cc
+++ b/tests/peers/caller/api_examples_test.cc
@@ -208,7 +208,7 @@
        {Refusal::kInvalid, Refusal::kUnknownPartner, Refusal::kWrongPartner,
         Refusal::kIdExpired, Refusal::kIdNotMinted, Refusal::kCanNeverRun,
         Refusal::kDeadline, Refusal::kQueueFull, Refusal::kDraining,
-        Refusal::kOverloaded, Refusal::kNotReady}) {
+        Refusal::kOverloaded, Refusal::kNotReady, Refusal::kIdReused}) {
     ExpectRow(ToHttp(RefusalReply{.refusal = it}, 2));
   }
 }
@@ -218,8 +218,9 @@
        {ApiErrorCode::kMalformedHttp, ApiErrorCode::kBodyTooLarge,
         ApiErrorCode::kHeadTooLarge, ApiErrorCode::kTooSlow,
         ApiErrorCode::kMalformedJson, ApiErrorCode::kInvalidField,
-        ApiErrorCode::kUnknownVersion, ApiErrorCode::kTooManyTasks,
-        ApiErrorCode::kNoSuchResource}) {
+        ApiErrorCode::kUnknownVersion, ApiErrorCode::kNoTasks,
+        ApiErrorCode::kTooManyTasks, ApiErrorCode::kNoSuchResource,
+        ApiErrorCode::kMethodNotAllowed}) {
     ExpectRow(ToHttp(ApiError{.code = it}));
   }
 }
--- a/tests/peers/caller/submission_fuzz_test.cc
+++ b/tests/peers/caller/submission_fuzz_test.cc
@@ -85,6 +85,53 @@
   CheckBody(ToJsonText(body));
 }
 
+// How the least submission is refused once a member is set to `value`.
+auto ErrorWith(std::string_view member, const json::value& value) -> ApiError {
+  auto body = ParseJson(PageExamples().at("submit-least")).value().as_object();
+  body[member] = value;
+  const auto submit = ParseSubmission(ToJsonText(body), PageConfiguration());
+  return submit.has_error() ? submit.error() : ApiError();
+}
+
+TEST(SubmissionFuzzTest, TextsThatAreTooLongAreNamed) {
+  for (const auto* member : {"kind", "partner", "service", "class", "key"}) {
+    const auto error = ErrorWith(member, json::string(201, 'x'));
+    EXPECT_EQ(error.code, ApiErrorCode::kInvalidField) << member;
+  }
+  EXPECT_EQ(ErrorWith("kind", json::string(201, 'x')).field, "kind");
+  EXPECT_TRUE(ErrorWith("kind", json::string(200, 'x')).reason.empty());
+}
+
+TEST(SubmissionFuzzTest, EachFaultOfTasksHasItsCode) {
+  EXPECT_EQ(ErrorWith("tasks", json::array()).code, ApiErrorCode::kNoTasks);
+  for (const auto& it : {json::value(7), json::value(json::object())}) {
+    EXPECT_EQ(ErrorWith("tasks", it).code, ApiErrorCode::kInvalidField);
+  }
+  EXPECT_EQ(ErrorWith("tasks", json::array(2001, json::value(1))).code,
+            ApiErrorCode::kTooManyTasks);
+}
+
+TEST(SubmissionFuzzTest, RepeatedMembersAreNamed) {
+  const auto example = PageExamples().at("submit-least");
+  for (const auto& [repeated, field] :
+       std::vector<std::pair<std::string, std::string>>{
+           {R"("partner": "agents", )", "partner"},
+           {R"("needs": {"memory_mb": 1, "memory_mb": 2}, )",
+            "needs.memory_mb"},
+           {R"("tasks": [0, {"a": 1, "a": 1}], )", "tasks[1].a"}}) {
+    auto body = example;
+    body.insert(1, repeated);
+    const auto submit = ParseSubmission(body, PageConfiguration());
+    ASSERT_TRUE(submit.has_error());
+    EXPECT_EQ(submit.error().code, ApiErrorCode::kInvalidField);
+    EXPECT_EQ(submit.error().field, field);
+  }
+  const auto mint =
+      ParseMint(R"({"schema_version":2,"partner":"a","count":1,"count":2})");
+  ASSERT_TRUE(mint.has_error());
+  EXPECT_EQ(mint.error().field, "count");
+}
+
 TEST(SubmissionFuzzTest, TooManyTasksAreRefusedWithTheirCode) {
   auto body = ParseJson(PageExamples().at("submit-least")).value().as_object();
   body["tasks"] = json::array(2001, json::value(1));
--- a/tests/servers/dispatcher/faults_test.cc
+++ b/tests/servers/dispatcher/faults_test.cc
@@ -19,6 +19,26 @@
     }
     return sum;
   }
+
+  // What an instance says to a submission, in 5 s.
+  auto Tell(size_t node, const std::shared_ptr<const Submission>& job)
+      -> CallerReplyBody {
+    const auto number =
+        Ask(*fleet, node, SubmitRequest{.submission = job, .wait = seconds(4)});
+    Elapse(*fleet, seconds(5));
+    const auto& replies = fleet->asked.at(number).replies;
+    return replies.empty() ? CallerReplyBody(UndecidedReply()) : replies.back();
+  }
+
+  auto ExpectRefused(const std::shared_ptr<const Submission>& job,
+                     Refusal refusal) -> void {
+    for (const size_t node : {0, 1}) {
+      const auto told = Tell(node, job);
+      const auto* it = std::get_if<RefusalReply>(&told);
+      ASSERT_NE(it, nullptr);
+      EXPECT_EQ(it->refusal, refusal);
+    }
+  }
 };
 
 TEST_F(ThreeInstances, RunAJobAndAnswerAnywhere) {
@@ -31,6 +51,39 @@
   EXPECT_EQ(TotalStarts(id, 5), 5U);
 }
 
+struct AnEndpointThatForgot : ThreeInstances,
+                              testing::WithParamInterface<bool> {};
+
+TEST_P(AnEndpointThatForgot, WhatItRanIsNotBelieved) {
+  for (auto& it : fleet->endpoints) {
+    it.second.named = GetParam();
+  }
+  const auto id = FetchId(*fleet, 0).value();
+  fleet->run_time = milliseconds(1000);
+  const auto asked = Submit(*fleet, 0, MakeJob(id, 2));
+  Elapse(*fleet, milliseconds(600));
+  ASSERT_EQ(TotalStarts(id, 2), 2U);
+  for (auto& it : fleet->endpoints) {
+    Restart(it.second);
+  }
+  Elapse(*fleet, seconds(8));
+  EXPECT_EQ(StateTold(*fleet, asked), JobState::kFailed);
+  EXPECT_EQ(TotalStarts(id, 2), 2U);
+}
+
+INSTANTIATE_TEST_SUITE_P(NamedAndUnnamed,
+                         AnEndpointThatForgot,
+                         testing::Bool());
+
+TEST_F(ThreeInstances, ARestartedEndpointGetsNewWork) {
+  for (auto& it : fleet->endpoints) {
+    Restart(it.second);
+  }
+  const auto asked = Submit(*fleet, 0, MakeJob(FetchId(*fleet, 0).value(), 5));
+  Elapse(*fleet, seconds(5));
+  EXPECT_EQ(StateTold(*fleet, asked), JobState::kDone);
+}
+
 struct AfterAPlannedStop : ThreeInstances {
   JobId ran;
   JobId unused;
@@ -65,6 +118,47 @@
   EXPECT_EQ(TotalStarts(ran, 2), 2U);
 }
 
+TEST_F(AfterAPlannedStop, AnIdOfAnotherPartnerIsRefusedEverywhere) {
+  auto job = MakeJob(unused, 2);
+  job->partner = "cobros";
+  ExpectRefused(job, Refusal::kWrongPartner);
+  EXPECT_EQ(TotalStarts(unused, 2), 0U);
+}
+
+TEST_F(AfterAPlannedStop, AnIdThatWasNeverMintedIsRefusedEverywhere) {
+  auto next = unused;
+  ++next.sequence;
+  auto elsewhen = unused;
+  elsewhen.minted += milliseconds(1);
+  for (const auto& it : {next, elsewhen}) {
+    ExpectRefused(MakeJob(it, 2), Refusal::kIdNotMinted);
+    EXPECT_EQ(TotalStarts(it, 2), 0U);
+  }
+}
+
+// In progress, ended, and known only from the records.
+TEST_F(ThreeInstances, AnotherBodyUnderAUsedIdIsRefused) {
+  const auto id = FetchId(*fleet, 2).value();
+  fleet->run_time = milliseconds(12000);
+  Submit(*fleet, 2, MakeJob(id, 2));
+  const auto other = MakeJob(id, 2);
+  other->payloads[1] = "\"other\"";
+  ExpectRefused(other, Refusal::kIdReused);
+  Elapse(*fleet, seconds(10));
+  ExpectRefused(other, Refusal::kIdReused);
+  Drain(*fleet, 2);
+  Elapse(*fleet, seconds(8));
+  ASSERT_EQ(fleet->nodes[2].dispatcher, nullptr);
+  ExpectRefused(other, Refusal::kIdReused);
+  // How urgent it is may be said anew.
+  const auto hastier = MakeJob(id, 2, "reminders");
+  hastier->deadline = milliseconds(1);
+  const auto told = Tell(0, hastier);
+  const auto* answer = std::get_if<AnswerReply>(&told);
+  ASSERT_NE(answer, nullptr);
+  EXPECT_EQ(answer->answer->state, JobState::kDone);
+}
+
 struct AStopInAnOutage : ThreeInstances {
   JobId ran;
 
--- a/tests/servers/dispatcher/virtual_platform.cc
+++ b/tests/servers/dispatcher/virtual_platform.cc
@@ -16,7 +16,8 @@
                "record_before_start": true, "record_before_answer": true},
               {"name": "reminders", "floor_percent": 40}],
   "teams": [{"name": "banks", "quota_tasks": 500}],
-  "partners": [{"name": "banco", "team": "banks"}],
+  "partners": [{"name": "banco", "team": "banks"},
+               {"name": "cobros", "team": "banks"}],
   "limits": {"id_term_ms": 40000}})";
 
 auto ToList(const VirtualFleet& fleet) -> InstanceList {
