Let the soak end in bounded time and hold every answer strictly

Cause of the runs that printed nothing: standard output was written only at the end, and the reconciliation asked for each job in turn for up to 30 s at an instance. A job whose only submission was lost (its server was dead or paused) is answered "undecided: nothing has been submitted under this id so far" until its id expires after 600 s, and no caller submitted it again. Ruled out: a process that hangs; all daemons answered.

- Each trouble is printed as it comes.
SIGTERM heals early instead of leaving processes behind.
- Checks that were laxer than the promise: `id_not_minted` was forgiven after a resubmission, and a 429 with a hint to retry counted as one that may be repeated; only a 503 with a hint leaves an id unused.
A refusal that leaves the id unused was not held against starts before it: endpoints now tell when a task first started.
An answer must be to the id that was asked for, each result that of its own task, the final answers recorded.
- More trouble: two instances in a zone, so that planned stops have successors; callers keep ids in stock that outlive their minter; killed and paused instances leave the platform's list half of the time, so that owners are deposed; instances that end by themselves are restarted, and count as a fault unless they were deposed.

--- a/bench/failures/main.cc
+++ b/bench/failures/main.cc
@@ -1,8 +1,10 @@
 // A seeded soak with real processes: callers work across all instances while
 // processes, links, the platform and workers fail at random; then everything
 // heals, and answers, records and endpoints are held against each other.
+#include <signal.h>
 #include <tclap/CmdLine.h>
 
+#include <atomic>
 #include <future>
 #include <iostream>
 #include <thread>
@@ -13,13 +15,33 @@
 namespace boragecroft::bench {
 namespace {
 
-constexpr uint64_t kCallers = 6;
+constexpr uint64_t kCallers = 12;
 constexpr int kShortestGapMs = 200;
 constexpr uint64_t kGapSpreadMs = 800;
+constexpr milliseconds kSettleTimeout{25000};
+constexpr milliseconds kSupervision{100};
 
-auto SoakOptions() -> lab::ClusterOptions {
+// Says how far the soak is, at once: a run that is cut short has still told.
+auto Progress(Instant began, const std::string& text) -> void {
+  const auto passed =
+      std::chrono::duration_cast<milliseconds>(BootClock::now() - began);
+  std::cout << passed.count() << " ms: " << text << std::endl;
+}
+
+// A request to end makes what fails heal early, so that no process is left.
+std::atomic<bool> interrupted = false;
+
+struct SoakArguments {
+  uint64_t seed = 0;
+  seconds lasts{};
+  bool keep = false;
+};
+
+auto SoakOptions(const SoakArguments& arguments) -> lab::ClusterOptions {
   lab::ClusterOptions options;
   options.links = true;
+  options.instances_per_zone = 2;
+  options.keep_folder = arguments.keep;
   options.extra_settings =
       "\"heartbeat_interval_ms\": 200, \"dead_after_ms\": 3000, "
       "\"pause_threshold_ms\": 500, \"list_poll_interval_ms\": 200, "
@@ -28,23 +50,30 @@
   return options;
 }
 
-auto MakeTrouble(Trouble& trouble, Random& random, seconds lasts) -> void {
+auto MakeTrouble(Trouble& trouble, Random& random, Instant began, seconds lasts)
+    -> void {
   const auto end = BootClock::now() + lasts;
-  while (BootClock::now() < end) {
-    trouble.Step();
+  while (BootClock::now() < end && !interrupted) {
+    Progress(began, trouble.Step());
     std::this_thread::sleep_for(milliseconds(
         kShortestGapMs + static_cast<int>(DrawBelow(random, kGapSpreadMs))));
   }
 }
 
-auto RunCallers(lab::Cluster& cluster,
-                Trouble& trouble,
-                uint64_t seed,
-                seconds lasts) -> std::vector<TrackedJob> {
+auto CallersOf(lab::Cluster& cluster) -> std::vector<Address> {
   std::vector<Address> servers;
   for (const auto& it : cluster.Instances()) {
     servers.push_back(it.callers);
   }
+  return servers;
+}
+
+auto RunCallers(lab::Cluster& cluster,
+                Trouble& trouble,
+                uint64_t seed,
+                Instant began,
+                seconds lasts) -> std::vector<TrackedJob> {
+  const auto servers = CallersOf(cluster);
   std::atomic<bool> stopping = false;
   std::vector<std::future<std::vector<TrackedJob>>> callers;
   for (uint64_t i = 0; i < kCallers; ++i) {
@@ -53,7 +82,7 @@
     }));
   }
   Random random(MixHash(seed, kCallers));
-  MakeTrouble(trouble, random, lasts);
+  MakeTrouble(trouble, random, began, lasts);
   stopping = true;
   std::vector<TrackedJob> jobs;
   for (auto& it : callers) {
@@ -64,24 +93,46 @@
   return jobs;
 }
 
-auto Soak(uint64_t seed, seconds lasts) -> int {
-  lab::Cluster cluster(SoakOptions());
-  Trouble trouble(cluster, seed);
-  auto jobs = RunCallers(cluster, trouble, seed, lasts);
-  const auto healed = trouble.HealAll();
-  std::cout << "troubles:";
+auto TellTroubles(const Trouble& trouble) -> std::string {
+  std::string text = "troubles:";
   for (const auto& it : trouble.Counts()) {
-    std::cout << " " << it.first << "=" << it.second;
+    text += " " + it.first + "=" + std::to_string(it.second);
+  }
+  return text;
+}
+
+auto Soak(const SoakArguments& arguments) -> int {
+  const auto began = BootClock::now();
+  lab::Cluster cluster(SoakOptions(arguments));
+  Progress(began, "the deployment serves" +
+                      (arguments.keep ? ", logs in " + cluster.Folder() : ""));
+  Trouble trouble(cluster, arguments.seed);
+  auto jobs =
+      RunCallers(cluster, trouble, arguments.seed, began, arguments.lasts);
+  Progress(began, TellTroubles(trouble));
+  const auto healed = trouble.HealAll();
+  Progress(began, healed ? "healed" : "an instance does not serve again");
+  const auto servers = CallersOf(cluster);
+  auto settling = std::async(std::launch::async, [&] {
+    SettleJobs(servers, jobs, kSettleTimeout);
+    Progress(began, "callers settled their jobs");
+    return AskEveryone(servers, jobs);
+  });
+  // A deposed instance may notice only now, and ends.
+  while (settling.wait_for(kSupervision) != std::future_status::ready) {
+    trouble.Supervise();
   }
-  std::cout << (healed ? "\n" : "\n  an instance does not serve again\n");
-  auto findings = Reconcile(cluster, jobs);
-  findings.unaccounted += healed ? 0 : 1;
+  const auto answers = settling.get();
+  Progress(began, "every instance was asked");
+  auto findings = Reconcile(cluster, jobs, answers);
+  findings.unaccounted += trouble.Faults() + (healed ? 0 : 1);
+  Progress(began, TellTroubles(trouble));
   std::cout << "failures: submissions=" << findings.submissions
             << " double_starts=" << findings.double_starts
             << " false_not_run=" << findings.false_not_run
             << " partial=" << findings.partial
-            << " unaccounted=" << findings.unaccounted << " seed=" << seed
-            << std::endl;
+            << " unaccounted=" << findings.unaccounted
+            << " seed=" << arguments.seed << std::endl;
   return findings.double_starts + findings.false_not_run + findings.partial +
                      findings.unaccounted ==
                  0
@@ -92,14 +143,26 @@
 }  // namespace
 }  // namespace boragecroft::bench
 
-// Usage: boragecroft_failures [--seed N] [--seconds N]
+// Usage: boragecroft_failures [--seed N] [--seconds N] [--keep]
 auto main(int argc, char** argv) -> int {
   TCLAP::CmdLine command("Seeded soak of a small deployment under failures");
   TCLAP::ValueArg<uint64_t> seed("", "seed", "Seed of all random choices",
                                  false, 1, "N", command);
   TCLAP::ValueArg<int> duration("", "seconds", "How long things fail", false,
                                 60, "N", command);
+  TCLAP::SwitchArg keep("", "keep", "Keep the folder with all logs", command);
   command.parse(argc, argv);
-  return boragecroft::bench::Soak(seed.getValue(),
-                                  boragecroft::seconds(duration.getValue()));
+  for (const auto it : {SIGTERM, SIGINT}) {
+    signal(it, [](int) { boragecroft::bench::interrupted = true; });
+  }
+  try {
+    return boragecroft::bench::Soak(
+        {.seed = seed.getValue(),
+         .lasts = boragecroft::seconds(duration.getValue()),
+         .keep = keep.getValue()});
+  } catch (const std::exception& it) {
+    std::cout << "failures: not finished: " << it.what()
+              << " seed=" << seed.getValue() << std::endl;
+    return 2;
+  }
 }
--- a/bench/failures/reconcile.cc
+++ b/bench/failures/reconcile.cc
@@ -1,7 +1,8 @@
-#include <boost/json/array.hpp>
+#include <algorithm>
 #include <iostream>
 #include <map>
 
+#include "bench/failures/account_check.h"
 #include "bench/failures/tracked_job.h"
 
 namespace boragecroft::bench {
@@ -9,26 +10,28 @@
 
 using lab::JsonReply;
 
-constexpr milliseconds kFinalTimeout{30000};
-constexpr milliseconds kAccountTimeout{20000};
-constexpr std::string_view kUnrecorded = "owner_lost_unrecorded";
-
-// What the answers say altogether, to be held against the account.
-struct AnswerTotals {
-  int64_t done = 0;
-  int64_t failed = 0;  // with a record
-};
+constexpr milliseconds kFinalTimeout{10000};  // for all jobs together
+constexpr milliseconds kFinalTimePerJob{40};  // beside that
+constexpr milliseconds kAnswerTimeout{2000};
 
 auto Report(const TrackedJob& tracked, const std::string& fault) -> void {
-  std::cout << "  " << tracked.job.id << " (" << tracked.job.urgency_class
-            << ", " << tracked.job.tasks << " tasks): " << fault << "\n";
+  std::cout << "  " + tracked.job.id + " (" + tracked.job.urgency_class + ", " +
+                   std::to_string(tracked.job.tasks) + " tasks): " + fault +
+                   "\n";
 }
 
-auto AwaitSettled(const Address& server, const lab::JobSpec& job) -> JsonReply {
+auto AwaitLasting(const Address& server, TrackedJob& tracked, Instant end)
+    -> JsonReply {
+  const auto target = "/v1/jobs/" + tracked.job.id +
+                      "?partner=" + tracked.job.partner + "&wait_ms=500";
   JsonReply reply;
-  lab::Eventually(kFinalTimeout, [&] {
-    reply = lab::Fetch(server, job.id, job.partner, seconds(1));
-    return IsSettled(reply);
+  const auto left = std::chrono::duration_cast<milliseconds>(
+      end - std::min(end, BootClock::now()));
+  lab::Eventually(left, [&] {
+    const auto sent = BootClock::now();
+    reply = lab::Get(server, target, kAnswerTimeout);
+    Note(tracked, reply, sent);
+    return IsLasting(reply);
   });
   return reply;
 }
@@ -50,21 +53,20 @@
   return same;
 }
 
-// The answer of all instances; empty when they don't agree or know none.
-auto AskEveryone(lab::Cluster& cluster, TrackedJob& tracked)
-    -> std::optional<JsonReply> {
-  std::optional<JsonReply> first;
-  for (const auto& it : cluster.Instances()) {
-    const auto reply = AwaitSettled(it.callers, tracked.job);
-    if (!IsSettled(reply)) {
-      Report(tracked, "no final answer from " + it.name + ": " +
+auto AskAll(const std::vector<Address>& servers,
+            TrackedJob& tracked,
+            Instant end) -> CommonAnswer {
+  CommonAnswer first;
+  for (const auto& it : servers) {
+    const auto reply = AwaitLasting(it, tracked, end);
+    if (!IsLasting(reply)) {
+      Report(tracked, "no lasting answer from " + ToString(it) + ": " +
                           std::to_string(reply.status) + " " + Describe(reply));
       return std::nullopt;
     }
-    Note(tracked, reply);
     if (first && !SameAnswer(*first, reply)) {
       Report(tracked, "answers differ: " + Describe(*first) + " and " +
-                          Describe(reply) + " from " + it.name);
+                          Describe(reply) + " from " + ToString(it));
       return std::nullopt;
     }
     first = reply;
@@ -91,11 +93,15 @@
       ++n;
     }
   }
-  const auto refused = tracked.refused_for_good || tracked.unknown ||
-                       answer.Text("state") == "refused";
-  for (size_t i = 0; refused && i < static_cast<size_t>(tracked.job.tasks);
-       ++i) {
-    if (counts.starts.contains(TaskName(tracked, i))) {
+  const auto refused =
+      tracked.refused_for_good || answer.Text("state") == "refused";
+  for (size_t i = 0; i < static_cast<size_t>(tracked.job.tasks); ++i) {
+    const auto started = counts.first_start.find(TaskName(tracked, i));
+    if (started == counts.first_start.end()) {
+      continue;
+    }
+    // A refusal that leaves the id unused speaks of the time before it.
+    if (refused || (tracked.refused && started->second < *tracked.refused)) {
       Report(tracked, "refused, and task " + std::to_string(i) + " started");
       ++n;
     }
@@ -120,40 +126,6 @@
   return n;
 }
 
-auto Sum(const JsonReply& account, std::string_view column) -> int64_t {
-  int64_t sum = 0;
-  if (account.status != 200) {
-    return -1;
-  }
-  for (const auto& it : account.body.at("rows").as_array()) {
-    sum += it.at(column).to_number<int64_t>();
-  }
-  return sum;
-}
-
-// How far the account of each instance is from the answers.
-auto CompareAccounts(lab::Cluster& cluster, const AnswerTotals& totals) -> int {
-  auto wrong = 0;
-  for (const auto& it : cluster.Instances()) {
-    JsonReply account;
-    const auto agrees = lab::Eventually(kAccountTimeout, [&] {
-      account = lab::Get(it.operators, "/v1/account", seconds(10));
-      return Sum(account, "done") == totals.done &&
-             Sum(account, "failed") == totals.failed &&
-             Sum(account, "undecided") == 0;
-    });
-    if (!agrees) {
-      std::cout << "  account of " << it.name << ": done "
-                << Sum(account, "done") << " failed " << Sum(account, "failed")
-                << " undecided " << Sum(account, "undecided")
-                << ", answers: done " << totals.done << " failed "
-                << totals.failed << "\n";
-      ++wrong;
-    }
-  }
-  return wrong;
-}
-
 // Started tasks that belong to no job that was submitted.
 auto CountStrangers(const std::vector<TrackedJob>& jobs,
                     const lab::StartCounts& counts) -> int {
@@ -171,24 +143,23 @@
   return n;
 }
 
-auto AddTo(AnswerTotals& totals, const JsonReply& answer) -> void {
-  const auto state = answer.Text("state");
-  totals.done += state == "done" ? 1 : 0;
-  totals.failed +=
-      state == "failed" && answer.Text("reason") != kUnrecorded ? 1 : 0;
-}
-
 }  // namespace
 
-auto Reconcile(lab::Cluster& cluster, std::vector<TrackedJob>& jobs)
-    -> Findings {
+auto AskEveryone(const std::vector<Address>& servers,
+                 std::vector<TrackedJob>& jobs) -> std::vector<CommonAnswer> {
+  const auto end = BootClock::now() + kFinalTimeout +
+                   kFinalTimePerJob * static_cast<int64_t>(jobs.size());
+  std::vector<CommonAnswer> answers(jobs.size());
+  ForEachJob(jobs, [&](TrackedJob& it) {
+    answers[static_cast<size_t>(&it - jobs.data())] = AskAll(servers, it, end);
+  });
+  return answers;
+}
+
+auto Reconcile(lab::Cluster& cluster,
+               const std::vector<TrackedJob>& jobs,
+               const std::vector<CommonAnswer>& answers) -> Findings {
   Findings findings;
-  AnswerTotals totals;
-  std::vector<std::optional<JsonReply>> answers;
-  answers.reserve(jobs.size());
-  for (auto& it : jobs) {
-    answers.push_back(AskEveryone(cluster, it));
-  }
   const auto counts = cluster.CountStarts();
   for (size_t i = 0; i < jobs.size(); ++i) {
     const auto& it = jobs[i];
@@ -201,11 +172,10 @@
     const auto answer = answers[i].value_or(JsonReply());
     findings.false_not_run += CountFalseNotRun(it, answer, counts);
     findings.unaccounted += CountUnfounded(it, answer, counts);
-    AddTo(totals, answer);
   }
   findings.double_starts = counts.double_starts;
   findings.unaccounted += CountStrangers(jobs, counts);
-  findings.unaccounted += CompareAccounts(cluster, totals);
+  findings.unaccounted += CheckAccounts(cluster, answers);
   return findings;
 }
 
--- a/bench/failures/soak_caller.cc
+++ b/bench/failures/soak_caller.cc
@@ -1,6 +1,7 @@
 #include "bench/failures/soak_caller.h"
 
 #include <array>
+#include <boost/json/array.hpp>
 #include <thread>
 
 #include "core/base/random.h"
@@ -11,10 +12,18 @@
 constexpr milliseconds kAnswerTimeout{1500};
 constexpr milliseconds kPause{10};
 constexpr uint64_t kRecentJobs = 40;
+constexpr uint64_t kMostIds = 4;
+
+// An id in stock, and who minted it.
+struct MintedId {
+  std::string id;
+  Address minter;
+};
 
 struct SoakCaller {
   const std::vector<Address>& servers;
   Random random;
+  std::vector<MintedId> stock;
   std::vector<TrackedJob> jobs;
 };
 
@@ -36,33 +45,55 @@
   return job;
 }
 
-auto Mint(const Address& server) -> std::string {
+// Fetches some ids more than are used at once: those in stock outlive their
+// minter now and then.
+auto FillStock(SoakCaller& caller) -> void {
+  const auto& server = AnyServer(caller);
+  const auto count = 1 + DrawBelow(caller.random, kMostIds);
   const auto reply = lab::Post(server, "/v1/ids",
                                {{"schema_version", 2},
                                 {"partner", lab::JobSpec().partner},
-                                {"count", 1}},
+                                {"count", count}},
                                kAnswerTimeout);
-  return reply.status == 200
-             ? std::string(reply.body.at("ids").at(0).as_string())
-             : std::string();
+  if (reply.status != 200) {
+    return;
+  }
+  for (const auto& it : reply.body.at("ids").as_array()) {
+    caller.stock.push_back(
+        MintedId{.id = std::string(it.as_string()), .minter = server});
+  }
+}
+
+auto BodyOf(const lab::JobSpec& job) -> boost::json::object {
+  auto body = lab::ToBody(job);
+  auto& tasks = body["tasks"].as_array();
+  for (size_t i = 0; i < tasks.size(); ++i) {
+    tasks[i].as_object()["bytes"] = ResultBytes(job, i);
+  }
+  return body;
 }
 
 auto SubmitTo(const Address& server, TrackedJob& tracked) -> void {
   tracked.submitted = true;
-  tracked.unknown = false;
-  Note(tracked, lab::Post(server, "/v1/jobs?wait_ms=200",
-                          lab::ToBody(tracked.job), kAnswerTimeout));
+  const auto sent = BootClock::now();
+  Note(tracked,
+       lab::Post(server, "/v1/jobs?wait_ms=200", BodyOf(tracked.job),
+                 kAnswerTimeout),
+       sent);
 }
 
 auto SubmitNew(SoakCaller& caller) -> void {
-  const auto& minter = AnyServer(caller);
-  auto id = Mint(minter);
-  if (id.empty()) {
+  if (caller.stock.empty()) {
+    FillStock(caller);
+  }
+  if (caller.stock.empty()) {
     return;
   }
+  const auto minted = std::move(caller.stock.back());
+  caller.stock.pop_back();
   auto& tracked = caller.jobs.emplace_back();
-  tracked.job = DrawJob(caller, std::move(id));
-  SubmitTo(DrawBelow(caller.random, 3) == 0 ? AnyServer(caller) : minter,
+  tracked.job = DrawJob(caller, minted.id);
+  SubmitTo(DrawBelow(caller.random, 3) == 0 ? AnyServer(caller) : minted.minter,
            tracked);
 }
 
@@ -85,10 +116,12 @@
   }
   const auto query = "?partner=" + tracked.job.partner;
   const auto path = "/v1/jobs/" + tracked.job.id;
-  Note(tracked, kind < 9 ? lab::Get(server, path + query + "&wait_ms=100",
-                                    kAnswerTimeout)
-                         : lab::Send(server, "POST", path + "/cancel" + query,
-                                     "", kAnswerTimeout));
+  const auto sent = BootClock::now();
+  const auto reply =
+      kind < 9 ? lab::Get(server, path + query + "&wait_ms=100", kAnswerTimeout)
+               : lab::Send(server, "POST", path + "/cancel" + query, "",
+                           kAnswerTimeout);
+  Note(tracked, reply, sent);
 }
 
 }  // namespace
@@ -97,7 +130,8 @@
                    uint64_t seed,
                    const std::atomic<bool>& stopping)
     -> std::vector<TrackedJob> {
-  SoakCaller caller{.servers = servers, .random = Random(seed), .jobs = {}};
+  SoakCaller caller{
+      .servers = servers, .random = Random(seed), .stock = {}, .jobs = {}};
   while (!stopping) {
     if (caller.jobs.empty() || DrawBelow(caller.random, 2) == 0) {
       SubmitNew(caller);
@@ -109,4 +143,16 @@
   return std::move(caller.jobs);
 }
 
+auto SettleJobs(const std::vector<Address>& servers,
+                std::vector<TrackedJob>& jobs,
+                milliseconds timeout) -> void {
+  const auto end = BootClock::now() + timeout;
+  ForEachJob(jobs, [&](TrackedJob& tracked) {
+    for (size_t i = 0; !tracked.lasting && BootClock::now() < end; ++i) {
+      SubmitTo(servers[i % servers.size()], tracked);
+      std::this_thread::sleep_for(kPause);
+    }
+  });
+}
+
 }  // namespace boragecroft::bench
--- a/bench/failures/soak_caller.h
+++ b/bench/failures/soak_caller.h
@@ -16,6 +16,12 @@
                    const std::atomic<bool>& stopping)
     -> std::vector<TrackedJob>;
 
+// Submits each job again, as its caller would who has no final answer yet,
+// until every answer is final and recorded or `timeout` has passed.
+auto SettleJobs(const std::vector<Address>& servers,
+                std::vector<TrackedJob>& jobs,
+                milliseconds timeout) -> void;
+
 }  // namespace boragecroft::bench
 
 #endif  // BENCH_FAILURES_SOAK_CALLER_H_
--- a/bench/failures/tracked_job.cc
+++ b/bench/failures/tracked_job.cc
@@ -1,11 +1,15 @@
 #include "bench/failures/tracked_job.h"
 
 #include <algorithm>
+#include <atomic>
 #include <boost/json/array.hpp>
+#include <future>
 
 namespace boragecroft::bench {
 namespace {
 
+constexpr int kThreads = 12;
+
 auto IsRecorded(const lab::JsonReply& reply) -> bool {
   const auto* object = reply.body.if_object();
   const auto* recorded =
@@ -13,9 +17,24 @@
   return recorded != nullptr && recorded->is_bool() && recorded->get_bool();
 }
 
-auto ErrorCode(const lab::JsonReply& reply) -> std::string {
-  const auto& error = reply.body.at("error");
-  return std::string(error.at("code").as_string());
+// The interface allows only these to be sent again under the same id.
+auto LeavesIdUnused(const lab::JsonReply& reply) -> bool {
+  return reply.Text("state") == "refused" && reply.status == 503 &&
+         reply.Number("retry_after_ms") > 0;
+}
+
+// Whether each result, if any, is that of its own task.
+auto HasOwnResults(const lab::JobSpec& job, const lab::JsonReply& reply)
+    -> bool {
+  const auto* results = reply.body.as_object().if_contains("results");
+  const auto n = results == nullptr ? 0 : results->as_array().size();
+  for (size_t i = 0; i < n; ++i) {
+    const auto& bytes = results->as_array()[i].at("bytes").as_string();
+    if (bytes.size() != ResultBytes(job, i)) {
+      return false;
+    }
+  }
+  return true;
 }
 
 auto NoteNotRun(TrackedJob& tracked, const lab::JsonReply& reply) -> void {
@@ -30,26 +49,38 @@
 
 }  // namespace
 
+auto ResultBytes(const lab::JobSpec& job, size_t index) -> size_t {
+  constexpr size_t kSizes = 97;
+  return (std::hash<std::string>()(job.id) + index) % kSizes;
+}
+
 auto IsSettled(const lab::JsonReply& reply) -> bool {
-  return lab::IsFinal(reply) && reply.Number("retry_after_ms") == 0;
+  return lab::IsFinal(reply) && !LeavesIdUnused(reply);
 }
 
-auto Note(TrackedJob& tracked, const lab::JsonReply& reply) -> void {
+auto IsLasting(const lab::JsonReply& reply) -> bool {
+  return IsSettled(reply) &&
+         (reply.Text("state") == "refused" || IsRecorded(reply));
+}
+
+auto Note(TrackedJob& tracked, const lab::JsonReply& reply, Instant sent)
+    -> void {
   const auto state = reply.Text("state");
+  tracked.lasting = tracked.lasting || IsLasting(reply);
   if (state == "refused") {
     tracked.false_refusals += tracked.accepted ? 1 : 0;
-    // What nobody submitted may still be submitted; any other refusal stands.
-    const auto unknown = ErrorCode(reply) == "id_not_minted";
-    tracked.unknown = tracked.unknown || unknown;
-    tracked.refused_for_good =
-        tracked.refused_for_good || (IsSettled(reply) && !unknown);
+    tracked.refused_for_good = tracked.refused_for_good || IsSettled(reply);
+    tracked.refused = sent;
     return;
   }
   if (state != "active" && state != "done" && state != "failed") {
     return;
   }
   tracked.accepted = true;
-  tracked.partial += lab::IsWhole(reply, tracked.job.tasks) ? 0 : 1;
+  const auto whole = lab::IsWhole(reply, tracked.job.tasks) &&
+                     reply.Text("id") == tracked.job.id &&
+                     HasOwnResults(tracked.job, reply);
+  tracked.partial += whole ? 0 : 1;
   if (state == "active") {
     tracked.contradictions += tracked.recorded.empty() ? 0 : 1;
     return;
@@ -63,4 +94,20 @@
   }
 }
 
+auto ForEachJob(std::vector<TrackedJob>& jobs,
+                const std::function<void(TrackedJob&)>& handle) -> void {
+  std::atomic<size_t> next = 0;
+  std::vector<std::future<void>> threads;
+  for (auto i = 0; i < kThreads; ++i) {
+    threads.push_back(std::async(std::launch::async, [&] {
+      for (auto n = next++; n < jobs.size(); n = next++) {
+        handle(jobs[n]);
+      }
+    }));
+  }
+  for (auto& it : threads) {
+    it.get();
+  }
+}
+
 }  // namespace boragecroft::bench
--- a/bench/failures/tracked_job.h
+++ b/bench/failures/tracked_job.h
@@ -2,6 +2,8 @@
 #ifndef BENCH_FAILURES_TRACKED_JOB_H_
 #define BENCH_FAILURES_TRACKED_JOB_H_
 
+#include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -13,21 +15,33 @@
 struct TrackedJob {
   lab::JobSpec job;
   bool submitted = false;
-  bool accepted = false;          // an answer said that it is active or ended
-  bool refused_for_good = false;  // refused without a hint to try again
-  bool unknown = false;         // an answer since the last submission said that
-                                // nothing was submitted
-  std::string recorded;         // the final state of a recorded answer
-  std::vector<size_t> not_run;  // tasks that some answer called so
-  int contradictions = 0;       // recorded answers that a later one contradicts
-  int false_refusals = 0;       // refusals of what had been accepted before
-  int partial = 0;              // answers that were neither whole nor failed
+  bool accepted = false;           // an answer said that it is active or ended
+  bool lasting = false;            // an answer was final and recorded
+  bool refused_for_good = false;   // a refusal said that the id is used up
+  std::optional<Instant> refused;  // when the request was sent that the latest
+                                   // refusal answered
+  std::string recorded;            // the final state of a recorded answer
+  std::vector<size_t> not_run;     // tasks that some answer called so
+  int contradictions = 0;  // recorded answers that a later one contradicts
+  int false_refusals = 0;  // refusals of what had been accepted before
+  int partial = 0;  // answers that were neither whole nor failed, or another
+                    // job's
 };
 
-// Final for good: not a refusal that asks to try again.
+// How many bytes the result of a task has: tells it from those of other tasks
+// and jobs.
+auto ResultBytes(const lab::JobSpec& job, size_t index) -> size_t;
+// Final for good: not a refusal that leaves the id unused.
 auto IsSettled(const lab::JsonReply& reply) -> bool;
-// Takes note of an answer.
-auto Note(TrackedJob& tracked, const lab::JsonReply& reply) -> void;
+// Settled, and no death of its owner can change it: refused or recorded.
+auto IsLasting(const lab::JsonReply& reply) -> bool;
+// Takes note of an answer to a request that was sent at `sent`.
+auto Note(TrackedJob& tracked, const lab::JsonReply& reply, Instant sent)
+    -> void;
+
+// Calls `handle` for every job, several at a time.
+auto ForEachJob(std::vector<TrackedJob>& jobs,
+                const std::function<void(TrackedJob&)>& handle) -> void;
 
 struct Findings {
   int submissions = 0;
@@ -37,10 +51,20 @@
   int unaccounted = 0;
 };
 
-// Asks every instance about every job and holds the answers, the account and
-// what the endpoints counted against each other. Prints what does not agree.
-auto Reconcile(lab::Cluster& cluster, std::vector<TrackedJob>& jobs)
-    -> Findings;
+// The answer that all instances gave to one job; empty when they did not agree
+// or one gave none in time.
+using CommonAnswer = std::optional<lab::JsonReply>;
+
+// Asks every instance about every job, in bounded time. Prints what does not
+// agree.
+auto AskEveryone(const std::vector<Address>& servers,
+                 std::vector<TrackedJob>& jobs) -> std::vector<CommonAnswer>;
+
+// Holds the answers, the account and what the endpoints counted against each
+// other. Prints what does not agree.
+auto Reconcile(lab::Cluster& cluster,
+               const std::vector<TrackedJob>& jobs,
+               const std::vector<CommonAnswer>& answers) -> Findings;
 
 }  // namespace boragecroft::bench
 
--- a/tests/lab/cluster.cc
+++ b/tests/lab/cluster.cc
@@ -127,7 +127,9 @@
     it.process->Kill();
   }
   std::error_code ec;
-  std::filesystem::remove_all(folder_, ec);
+  if (!options_.keep_folder) {
+    std::filesystem::remove_all(folder_, ec);
+  }
 }
 
 auto Cluster::Instances() -> std::vector<Instance>& {
@@ -248,6 +250,10 @@
         continue;
       }
       const auto task = BaseTask(std::string(it.at("task").as_string()));
+      const Instant started(
+          microseconds(it.at("first_start_us").to_number<int64_t>()));
+      const auto first = counts.first_start.try_emplace(task, started).first;
+      first->second = std::min(first->second, started);
       counts.starts[task] += starts;
       counts.state[task] = it.at("state").as_string();
       counts.total += starts;
@@ -347,7 +353,7 @@
   instance.process = std::make_unique<ChildProcess>(
       std::vector<std::string>{Program("boragecroftd"), "--settings",
                                base + ".json"},
-      base + ".log");
+      base + "-" + std::to_string(++instance.starts) + ".log");
   const auto line =
       Require(instance.process->WaitForLine("\"listening\"", kStartTimeout),
               instance.name);
--- a/tests/lab/cluster.h
+++ b/tests/lab/cluster.h
@@ -28,6 +28,7 @@
   std::string declarations_file;  // empty: that of the deployment
   // Whether instances of different zones talk through the network's stand-in.
   bool links = false;
+  bool keep_folder = false;  // with the logs of all processes
 };
 
 struct Instance {
@@ -36,6 +37,7 @@
   Address callers;
   Address instances;
   Address operators;
+  int starts = 0;  // each process has a log of its own
   std::unique_ptr<ChildProcess> process;
 };
 
@@ -49,6 +51,7 @@
 // Tasks that endpoints started, added up over the attempts of a task.
 struct StartCounts {
   std::map<std::string, int> starts;  // by task id without its attempt
+  std::map<std::string, Instant> first_start;
   std::map<std::string, std::string>
       state;  // how the last started attempt ended
   int total = 0;
--- a/tests/standins/endpoint/main.cc
+++ b/tests/standins/endpoint/main.cc
@@ -2,7 +2,8 @@
 // process, a port for each. Prints the platform's list entries for them as one
 // JSON array, then "control PORT", then "ready". On the control port: POST
 // /control {"worker": INDEX or -1, "mode": MODE, "slowdown": N, "late_ms": N};
-// GET /starts: {"tasks": [{"task", "starts", "state"}]}; GET /counters.
+// GET /starts: {"tasks": [{"task", "starts", "first_start_us", "state"}]}, by
+// the boot-time clock; GET /counters.
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/json/serialize.hpp>
@@ -75,9 +76,11 @@
   json::array tasks;
   for (const auto& worker : zone.workers) {
     for (const auto& it : worker->attempts) {
-      tasks.push_back({{"task", it.first},
-                       {"starts", it.second.starts},
-                       {"state", it.second.state}});
+      tasks.push_back(
+          {{"task", it.first},
+           {"starts", it.second.starts},
+           {"first_start_us", it.second.first_start.time_since_epoch().count()},
+           {"state", it.second.state}});
     }
   }
   json::object body;
--- a/tests/standins/endpoint/worker.cc
+++ b/tests/standins/endpoint/worker.cc
@@ -99,6 +99,8 @@
                            ? payload->get_object()
                            : json::object();
   auto& attempt = worker.attempts[task];
+  attempt.first_start =
+      attempt.starts == 0 ? BootClock::now() : attempt.first_start;
   ++attempt.starts;
   ++worker.starts;
   ++worker.running;
--- a/tests/standins/endpoint/worker.h
+++ b/tests/standins/endpoint/worker.h
@@ -28,6 +28,7 @@
 // What became of one attempt, by its id.
 struct Attempt {
   uint32_t starts = 0;
+  Instant first_start;
   std::string state = "running";  // running, done, failed, stopped, not_started
   std::string result;             // JSON text
   std::shared_ptr<boost::asio::steady_timer> timer;
