Answer from the closed records once an owner is deposed

Cause: a deposed owner that was asked about an id it had never used refused it as "this instance is stopping, not run, try again", while survivors had closed its ledger and called the same id failed, may have run, recorded. No task was started by it; but two answers to one id stood against each other, and the later one was weaker than a record. ThreeInstances.ADeposedOwnerRefusesNothingThatTheRecordsCallFailed failed first (refused instead of failed).

A deposed owner now looks up every id that it has no job of, and reads its own ledger as that of any other: the rule "what my ledger does not say has expired" holds only while it writes it. Ruled out: passing the request to a survivor, which may be out of reach while the table is not.

--- a/servers/dispatcher/record_lookup.cc
+++ b/servers/dispatcher/record_lookup.cc
@@ -26,6 +26,12 @@
   return bounds;
 }
 
+// The ledger that this instance writes: what it does not say did not happen.
+// Once another instance has closed it, it is read like that of any other.
+auto IsOwn(const Dispatcher& dispatcher, Incarnation ledger) -> bool {
+  return ledger == dispatcher.self && !dispatcher.deposed;
+}
+
 auto TakeWaiting(Step& step, const JobId& id) -> std::vector<CallerRequest> {
   const auto it = step.dispatcher.lookups.find(id);
   if (it == step.dispatcher.lookups.end()) {
@@ -115,7 +121,7 @@
 auto Conclude(Step& step, const JobId& id) -> void {
   const auto& lookup = *step.dispatcher.lookups.at(id).lookup;
   const auto own =
-      step.dispatcher.lookups.at(id).ledger == step.dispatcher.self;
+      IsOwn(step.dispatcher, step.dispatcher.lookups.at(id).ledger);
   const auto answer = own && !lookup.unreadable
                           ? DeriveOwnerAnswer(lookup.record)
                           : AnswerOf(lookup);
@@ -205,7 +211,7 @@
     }
     incarnation = std::move(parsed).value();
   }
-  const auto own = open.ledger == dispatcher.self;
+  const auto own = IsOwn(dispatcher, open.ledger);
   if (!own && (!incarnation || !incarnation->closed)) {
     const auto name = incarnation ? incarnation->instance : std::string();
     const auto address =
--- a/servers/dispatcher/submitting.cc
+++ b/servers/dispatcher/submitting.cc
@@ -135,6 +135,11 @@
 // Requests about an id that is not in memory.
 auto ServeAbsent(Step& step, const CallerRequest& request) -> void {
   const auto id = IdOf(request.call);
+  if (step.dispatcher.deposed) {
+    // Others answer from the closed records, whatever is known here.
+    LookUpIn(step, step.dispatcher.self, request);
+    return;
+  }
   const auto verdict =
       VerdictOf(step.dispatcher, id, PartnerOf(request.call), step.now);
   switch (verdict) {
--- a/tests/servers/dispatcher/faults_test.cc
+++ b/tests/servers/dispatcher/faults_test.cc
@@ -99,18 +99,24 @@
                          OwnerDies,
                          testing::Values(0, 20, 40, 100, 400, 1000, 6000));
 
+// The others take a node for gone: a replacement has its address.
+auto GiveUp(VirtualFleet& fleet, size_t node) -> void {
+  const auto taken = fleet.nodes[node].dispatcher->self;
+  for (size_t i = 0; i < fleet.nodes.size(); ++i) {
+    if (i != node) {
+      fleet.nodes[i].dispatcher->membership.replaced.push_back(
+          {.incarnation = taken, .since = fleet.now.boot});
+    }
+  }
+}
+
 TEST_F(ThreeInstances, AnOwnerThatWakesDeposedTellsWhatTheRecordsSay) {
   const auto id = FetchId(*fleet, 2).value();
   fleet->run_time = milliseconds(1000);
   const auto asked = Submit(*fleet, 2, MakeJob(id, 2));
   Elapse(*fleet, milliseconds(600));
   fleet->nodes[2].paused = true;
-  // The others take it for gone: a replacement has its address.
-  const auto taken = fleet->nodes[2].dispatcher->self;
-  for (size_t i = 0; i < 2; ++i) {
-    fleet->nodes[i].dispatcher->membership.replaced.push_back(
-        {.incarnation = taken, .since = fleet->now.boot});
-  }
+  GiveUp(*fleet, 2);
   Elapse(*fleet, seconds(4));
   const auto here = Submit(*fleet, 0, MakeJob(id, 2));
   Elapse(*fleet, seconds(4));
@@ -120,5 +126,27 @@
   EXPECT_EQ(StateTold(*fleet, asked), JobState::kFailed);
 }
 
+TEST_F(ThreeInstances, ADeposedOwnerRefusesNothingThatTheRecordsCallFailed) {
+  const auto id = FetchId(*fleet, 2).value();
+  const auto other = FetchId(*fleet, 2).value();
+  Elapse(*fleet, seconds(1));
+  fleet->nodes[2].paused = true;
+  GiveUp(*fleet, 2);
+  Elapse(*fleet, seconds(4));
+  const auto here = Submit(*fleet, 0, MakeJob(id, 2));
+  Elapse(*fleet, seconds(4));
+  ASSERT_EQ(StateTold(*fleet, here), JobState::kFailed);
+  fleet->nodes[2].paused = false;
+  Elapse(*fleet, seconds(1));
+  Submit(*fleet, 2, MakeJob(other, 1));
+  for (auto i = 0; i < 300 && !fleet->nodes[2].dispatcher->deposed; ++i) {
+    Elapse(*fleet, milliseconds(10));
+  }
+  ASSERT_TRUE(fleet->nodes[2].dispatcher->deposed);
+  const auto there = Submit(*fleet, 2, MakeJob(id, 2));
+  Elapse(*fleet, seconds(1));
+  EXPECT_EQ(StateTold(*fleet, there), JobState::kFailed);
+}
+
 }  // namespace
 }  // namespace boragecroft
