Keep expired ids expired after their owner's stop

Cause: a successor judged the age of an adopted id by the wall clock, which steps, and gave it the whole term, though the owner judges by its record time and by its own clock. An id that the owner had refused as expired, "nothing ran, take a new id", was then started by the successor: with the wall clock set back by 20 s both tasks of the job ran after the refusal (AnIdThatItsOwnerCalledExpired.StaysSoWhenTheClockStepsBack, which failed first).

The successor goes by its record time and ends the term a tenth earlier. Ruled out: the closing row names the time up to which its owner called ids expired.

--- a/servers/dispatcher/submitting.cc
+++ b/servers/dispatcher/submitting.cc
@@ -10,10 +10,15 @@
 #include "servers/dispatcher/owner_routing.h"
 #include "servers/dispatcher/record_flow.h"
 #include "servers/dispatcher/replies.h"
+#include "servers/identity/record_clock.h"
 
 namespace boragecroft {
 namespace {
 
+// The owner may have called an id expired by a clock that was ahead of this
+// one, so a successor ends the term earlier by this part of it.
+constexpr int kTermPerClockError = 10;
+
 // Why this instance takes no submission at the moment, if so.
 auto FindObstacle(const Step& step) -> std::optional<RefusalReply> {
   const auto& dispatcher = step.dispatcher;
@@ -128,8 +133,10 @@
   if (Contains(used, id.sequence)) {
     return IdVerdict::kBelowRetained;
   }
-  return now.wall - id.minted > dispatcher.mint.term ? IdVerdict::kExpired
-                                                     : IdVerdict::kFresh;
+  const auto& mint = dispatcher.mint;
+  const auto latest = id.minted + mint.term - mint.term / kTermPerClockError;
+  return RecordTime(mint.started, now) > latest ? IdVerdict::kExpired
+                                                : IdVerdict::kFresh;
 }
 
 // Requests about an id that is not in memory.
--- a/tests/servers/dispatcher/faults_test.cc
+++ b/tests/servers/dispatcher/faults_test.cc
@@ -64,6 +64,43 @@
   EXPECT_EQ(TotalStarts(ran, 2), 2U);
 }
 
+// The owner refuses an id that outlived its term, then stops, and the id is
+// submitted to its successor, whose clock may differ.
+struct AnIdThatItsOwnerCalledExpired : ThreeInstances {
+  JobId id;
+
+  auto SetUp() -> void override {
+    id = FetchId(*fleet, 2).value();
+    Elapse(*fleet, kIdTerm + milliseconds(100));
+    const auto refused = Submit(*fleet, 2, MakeJob(id, 2));
+    Drain(*fleet, 2);
+    Elapse(*fleet, seconds(8));
+    ASSERT_EQ(StateTold(*fleet, refused), JobState::kRefused);
+    ASSERT_EQ(fleet->nodes[2].dispatcher, nullptr);
+  }
+
+  auto SubmitToOthers() -> void {
+    const auto here = Submit(*fleet, 0, MakeJob(id, 2));
+    const auto there = Submit(*fleet, 1, MakeJob(id, 2));
+    Elapse(*fleet, seconds(5));
+    EXPECT_EQ(StateTold(*fleet, here), JobState::kRefused);
+    EXPECT_EQ(StateTold(*fleet, there), JobState::kRefused);
+    EXPECT_EQ(TotalStarts(id, 2), 0U);
+  }
+};
+
+TEST_F(AnIdThatItsOwnerCalledExpired, StaysSoWhenTheClockStepsBack) {
+  fleet->now.wall -= seconds(20);
+  SubmitToOthers();
+}
+
+TEST_F(AnIdThatItsOwnerCalledExpired, StaysSoOnASuccessorWhoseClockIsBehind) {
+  for (size_t i = 0; i < 2; ++i) {
+    fleet->nodes[i].dispatcher->mint.started.wall -= seconds(10);
+  }
+  SubmitToOthers();
+}
+
 TEST_F(ThreeInstances, ARefusalHoldsAfterTheOwnersDeath) {
   const auto id = FetchId(*fleet, 2).value();
   auto job = MakeJob(id, 1);
