Pace ledger writes by a token bucket that keeps writes for urgent entries

Cause: an answer of the most urgent class waits for its record. At 8 instances its record waited 12.9 to 13.2 ms for the fixed spacing of 27 ms, then 5.4 ms for the write; entries of bulk jobs took any write as soon as one was due.

Change: each instance saves unused writes up to a burst; entries of the most urgent class take any, others only while half of the burst stays. Resent writes count. All instances stay within 3,000 writes in any 10 s and 400 in any second. The dump shows where the time goes, and the scenarios print it.

Tried: letting entries that nobody waits for write after the flush interval of 20 ms without a spare write: wait 4.5 ms, since they emptied the bucket.

KeepsItsShareOfTheTablesWritesEvenWhenUrgent tested SpacingFor, which is gone; it now tests the bucket, and WriteBudgetTest holds all numbers of instances up to 3,000 and any load to the budget, which no test did before.

--- a/bench/scenarios/fleet_run.cc
+++ b/bench/scenarios/fleet_run.cc
@@ -59,6 +59,17 @@
   return microseconds(static_cast<int64_t>(Percentile(legs, 0.5)));
 }
 
+auto CountLedger(const boost::json::object& ledger, FleetCounts& counts)
+    -> void {
+  const auto number = [&](std::string_view name) {
+    return ledger.at(name).to_number<double>();
+  };
+  counts.ledger_segments += number("segments");
+  counts.ledger_writing_us += number("writing_us");
+  counts.urgent_records += number("urgent_entries");
+  counts.urgent_records_waiting_us += number("urgent_waiting_us");
+}
+
 }  // namespace
 
 auto StartFleet(const Deployment& deployment,
@@ -103,6 +114,7 @@
     counts.queries += number("queries_sent");
     counts.extra += number("attempts_extra");
     counts.put_aside += number("workers_put_aside");
+    CountLedger(body->at("ledger").as_object(), counts);
   }
   for (const auto& it : run.cluster->Endpoints()) {
     const auto reply = lab::Get(it.control, "/counters");
@@ -169,6 +181,29 @@
   return report;
 }
 
+auto PrintLedger(const Reporter& reporter,
+                 const std::string& prefix,
+                 const LoadResult& result) -> void {
+  constexpr double kMicrosecondsPerMillisecond = 1000;
+  const auto& before = result.before;
+  const auto& after = result.after;
+  const auto segments = after.ledger_segments - before.ledger_segments;
+  const auto records = after.urgent_records - before.urgent_records;
+  const auto mean_ms = [&](double total_us, double count) {
+    return count > 0 ? total_us / count / kMicrosecondsPerMillisecond : 0;
+  };
+  PrintFigure(reporter, prefix + ".ledger_segments", segments, "writes");
+  PrintFigure(
+      reporter, prefix + ".ledger_write",
+      mean_ms(after.ledger_writing_us - before.ledger_writing_us, segments),
+      "ms mean");
+  PrintFigure(reporter, prefix + ".urgent_record_wait",
+              mean_ms(after.urgent_records_waiting_us -
+                          before.urgent_records_waiting_us,
+                      records),
+              "ms mean");
+}
+
 auto PrintWaste(const Reporter& reporter,
                 const std::string& prefix,
                 const LoadResult& result) -> void {
--- a/bench/scenarios/fleet_run.h
+++ b/bench/scenarios/fleet_run.h
@@ -13,6 +13,7 @@
 
 namespace boragecroft::bench {
 
+inline constexpr int kInstances = 3;
 inline constexpr int kWorkers = 8;
 inline constexpr int kSlotsPerWorker = 8;
 inline constexpr uint32_t kFleetSlots = kWorkers * kSlotsPerWorker;
@@ -27,6 +28,10 @@
   double queries = 0;
   double extra = 0;  // retries and hedges
   double put_aside = 0;
+  double ledger_segments = 0;
+  double ledger_writing_us = 0;
+  double urgent_records = 0;
+  double urgent_records_waiting_us = 0;
   double starts = 0;
   std::vector<double> worker_starts;
 };
@@ -45,7 +50,7 @@
 auto StartFleet(const Deployment& deployment,
                 const std::string& policy,
                 uint64_t seed,
-                int instances = 3) -> std::unique_ptr<FleetRun>;
+                int instances = kInstances) -> std::unique_ptr<FleetRun>;
 
 struct LoadResult {
   std::vector<PlannedRequest> plan;
@@ -72,6 +77,11 @@
                  const std::string& stream,
                  microseconds from = kWarmUp,
                  microseconds to = kRunLength) -> StreamReport;
+// Prints how many segments the ledgers wrote, and where the time of the records
+// that an answer or a start of the most urgent class waits for went.
+auto PrintLedger(const Reporter& reporter,
+                 const std::string& prefix,
+                 const LoadResult& result) -> void;
 // Prints wasted messages per useful one and the load average.
 auto PrintWaste(const Reporter& reporter,
                 const std::string& prefix,
--- a/bench/scenarios/load_scenarios.cc
+++ b/bench/scenarios/load_scenarios.cc
@@ -35,16 +35,22 @@
 
 auto Steady(const ScenarioContext& context,
             const Deployment& deployment,
-            double share) -> void {
-  const auto run = StartFleet(deployment, context.policy, context.seed);
+            double share,
+            int instances = kInstances) -> void {
+  const auto run =
+      StartFleet(deployment, context.policy, context.seed, instances);
   const auto result = RunStreams(
       *run, OrdinaryLoad(deployment, Evenly(share), kFleetSlots, kRunLength));
   const auto percent = std::to_string(std::lround(share * 100));
-  const auto prefix =
-      Prefix(context, "steady" + percent + "_" + deployment.name);
+  auto name = "steady" + percent + "_" + deployment.name;
+  if (instances != kInstances) {
+    name += "_" + std::to_string(instances);
+  }
+  const auto prefix = Prefix(context, name);
   PrintFigure(context.reporter, prefix + ".leg",
               static_cast<double>(run->leg.count()), "us");
   PrintAll(context, prefix, result);
+  PrintLedger(context.reporter, prefix, result);
 }
 
 template <int kPercent>
@@ -52,9 +58,9 @@
   Steady(context, Logbook(), kPercent / 100.0);
 }
 
-template <int kPercent>
+template <int kPercent, int kCount = kInstances>
 auto SteadyCartas(const ScenarioContext& context) -> void {
-  Steady(context, Cartas(), kPercent / 100.0);
+  Steady(context, Cartas(), kPercent / 100.0, kCount);
 }
 
 auto FloodOf(const Deployment& deployment, bool urgent) -> Stream {
@@ -248,6 +254,7 @@
           {"uneven_balancer", UnevenBalancer},
           {"cold_start", ColdStart},
           {"steady80_cartas", SteadyCartas<80>},
+          {"steady80_cartas_8", SteadyCartas<80, 8>},
           {"steady50_cartas", SteadyCartas<50>},
           {"steady95_cartas", SteadyCartas<95>}};
 }
--- a/servers/dispatcher/membership_flow.cc
+++ b/servers/dispatcher/membership_flow.cc
@@ -199,8 +199,7 @@
   auto& dispatcher = step.dispatcher;
   const auto instances =
       static_cast<uint32_t>(dispatcher.membership.peers.size()) + 1;
-  dispatcher.ledger.settings.spacing =
-      SpacingFor(instances, kTableWritesPerSecond);
+  SetPace(dispatcher.ledger, PaceFor(instances, kTableWritesPerSecond));
 }
 
 // Derives this instance's share of the zone's slots from what the instances
--- a/servers/dispatcher/record_flow.cc
+++ b/servers/dispatcher/record_flow.cc
@@ -10,6 +10,12 @@
 namespace boragecroft {
 namespace {
 
+// The most urgent class comes first in the configuration. Records of the others
+// leave it the writes that it may need.
+auto UrgencyOf(const Job& job) -> Urgency {
+  return job.class_index == 0 ? Urgency::kUrgent : Urgency::kPrompt;
+}
+
 auto Apply(Step& step, const LedgerEvents& events) -> void {
   auto& dispatcher = step.dispatcher;
   if (events.opened) {
@@ -106,8 +112,7 @@
   entry.started_below = std::min(entry.tasks, kWatermarkWindow);
   entry.accepted = step.now.wall;
   const auto watermark = entry.started_below;
-  const auto verdict =
-      Add(dispatcher.ledger, entry, Urgency::kUrgent, step.now);
+  const auto verdict = Add(dispatcher.ledger, entry, UrgencyOf(job), step.now);
   if (verdict == AddVerdict::kAdded || verdict == AddVerdict::kOverBound) {
     job.record_mode = RecordMode::kWatermark;
     job.watermark_asked = watermark;
@@ -125,7 +130,7 @@
   WatermarkEntry entry;
   entry.job = job.submission->id;
   entry.started_below = job.watermark_asked;
-  Add(step.dispatcher.ledger, entry, Urgency::kUrgent, step.now);
+  Add(step.dispatcher.ledger, entry, UrgencyOf(job), step.now);
 }
 
 auto RecordFinal(Step& step, const Job& job) -> void {
@@ -144,10 +149,10 @@
   entry.finished = step.now.wall;
   const auto* declared =
       FindClass(*InForce(step.dispatcher), job.submission->urgency_class);
-  const auto urgent = declared != nullptr && declared->record_before_answer;
+  const auto awaited = declared != nullptr && declared->record_before_answer;
   const auto verdict =
       Add(step.dispatcher.ledger, entry,
-          urgent ? Urgency::kUrgent : Urgency::kNormal, step.now);
+          awaited ? UrgencyOf(job) : Urgency::kNormal, step.now);
   if (verdict == AddVerdict::kEnded) {
     Log(LogLevel::kError, "final_record_lost",
         {{"job", ToString(job.submission->id)}});
--- a/servers/dispatcher/state_dump.cc
+++ b/servers/dispatcher/state_dump.cc
@@ -107,6 +107,10 @@
   it["write_in_flight"] = ledger.flight.has_value();
   it["platform_suspect"] = IsPlatformSuspect(ledger, now);
   it["dropped_results"] = ledger.dropped_results;
+  it["segments"] = ledger.times.segments;
+  it["writing_us"] = ledger.times.writing.count();
+  it["urgent_entries"] = ledger.times.urgent_entries;
+  it["urgent_waiting_us"] = ledger.times.urgent_waiting.count();
   return it;
 }
 
--- a/servers/ledger/ledger_settle.cc
+++ b/servers/ledger/ledger_settle.cc
@@ -44,9 +44,14 @@
 
 // The transaction in flight is certainly in the table; `version` is that of the
 // row that it put.
-auto SettleApplied(LedgerWriter& writer, uint64_t version, LedgerEvents& events)
-    -> void {
+auto SettleApplied(LedgerWriter& writer,
+                   uint64_t version,
+                   const Now& now,
+                   LedgerEvents& events) -> void {
   const auto flight = std::exchange(writer.flight, std::nullopt);
+  if (!flight->entries.empty()) {
+    writer.times.writing += now.boot - flight->first_sent;
+  }
   switch (flight->kind) {
     case FlightKind::kOpen:
       writer.phase = LedgerPhase::kOpen;
@@ -156,7 +161,7 @@
                    LedgerEvents& events) -> void {
   const auto is_closed = incarnation.version != writer.row_version;
   if (IsOurs(segment, *writer.flight)) {
-    SettleApplied(writer, segment.version, events);
+    SettleApplied(writer, segment.version, now, events);
     if (is_closed) {
       Depose(writer, events);
     }
@@ -175,7 +180,7 @@
                   const Now& now,
                   LedgerEvents& events) -> void {
   if (IsOurs(row, *writer.flight)) {
-    SettleApplied(writer, row.version, events);
+    SettleApplied(writer, row.version, now, events);
     return;
   }
   if (row.version == writer.flight->transaction.checks.front().version) {
@@ -203,7 +208,7 @@
   const auto key = writer.flight->transaction.puts.front().key;
   const auto is_reading = writer.flight->state == FlightState::kReadBack;
   if (outcome.kind == TableOutcomeKind::kApplied) {
-    SettleApplied(writer, VersionOf(outcome.versions, key), events);
+    SettleApplied(writer, VersionOf(outcome.versions, key), now, events);
   } else if (outcome.kind == TableOutcomeKind::kConflict && !is_reading) {
     writer.flight->state = FlightState::kReadBack;
     events.read_back = ReadBackKeys(writer, *writer.flight);
--- a/servers/ledger/ledger_writer.cc
+++ b/servers/ledger/ledger_writer.cc
@@ -42,7 +42,8 @@
   return PendingEntry{.kind = kind,
                       .job = job,
                       .collected = collected,
-                      .key_time = std::max(collected, job.minted)};
+                      .key_time = std::max(collected, job.minted),
+                      .added = now.boot};
 }
 
 // Drops results from the oldest records until what waits is within its bound.
@@ -60,14 +61,23 @@
   }
 }
 
+auto NoteUrgency(detail::PendingQueue& queue,
+                 uint64_t position,
+                 Urgency urgency) -> void {
+  if (urgency == Urgency::kUrgent) {
+    queue.urgent_end = std::max(queue.urgent_end, position + 1);
+    queue.entries[position - queue.front_position].urgent = true;
+  } else if (urgency == Urgency::kPrompt) {
+    queue.prompt_end = std::max(queue.prompt_end, position + 1);
+  }
+}
+
 auto Push(LedgerWriter& writer, PendingEntry entry, Urgency urgency)
     -> AddVerdict {
   auto& queue = writer.pending;
   queue.bytes += entry.text.size();
   queue.entries.push_back(std::move(entry));
-  if (urgency == Urgency::kUrgent) {
-    queue.urgent_end = queue.front_position + queue.entries.size();
-  }
+  NoteUrgency(queue, queue.front_position + queue.entries.size() - 1, urgency);
   DropResults(writer);
   return IsOverBound(writer) ? AddVerdict::kOverBound : AddVerdict::kAdded;
 }
@@ -84,9 +94,7 @@
   it.text = EntryToJsonText(entry, kLedgerSchema);
   queue.bytes += it.text.size();
   it.started_below = entry.started_below;
-  if (urgency == Urgency::kUrgent) {
-    queue.urgent_end = std::max(queue.urgent_end, position + 1);
-  }
+  NoteUrgency(queue, position, urgency);
   return IsOverBound(writer) ? AddVerdict::kOverBound : AddVerdict::kAdded;
 }
 
@@ -99,13 +107,16 @@
   if (writer.phase == LedgerPhase::kClosing) {
     return true;
   }
-  const auto since_last = now.boot - writer.last_built;
-  if (since_last < settings.spacing) {
+  if (!MayWrite(writer.budget, now.boot)) {
     return false;
   }
-  return since_last >= settings.interval ||
-         queue.urgent_end > queue.front_position ||
-         queue.bytes >= settings.max_segment_bytes;
+  if (queue.urgent_end > queue.front_position ||
+      queue.bytes >= settings.max_segment_bytes) {
+    return true;
+  }
+  const auto is_prompt = queue.prompt_end > queue.front_position;
+  return HasSpareWrite(writer.budget, now.boot) &&
+         (is_prompt || now.boot - writer.last_built >= settings.interval);
 }
 
 // Takes as many entries as one segment holds, at least one.
@@ -141,6 +152,18 @@
   return SegmentKey(writer.row.incarnation, writer.last_key);
 }
 
+// Of a watermark that was raised while it waited, the first one's time counts.
+auto NoteTaken(LedgerWriter& writer, const Flight& flight, const Now& now)
+    -> void {
+  ++writer.times.segments;
+  for (const auto& it : flight.entries) {
+    if (it.urgent) {
+      ++writer.times.urgent_entries;
+      writer.times.urgent_waiting += now.boot - it.added;
+    }
+  }
+}
+
 auto BuildSegment(LedgerWriter& writer) -> Flight {
   const auto is_addendum = writer.phase == LedgerPhase::kDeposed;
   Flight flight{
@@ -186,7 +209,10 @@
   }
   if (IsDue(writer, now)) {
     writer.last_built = now.boot;
-    return BuildSegment(writer);
+    TakeWrite(writer.budget, now.boot);
+    auto flight = BuildSegment(writer);
+    NoteTaken(writer, flight, now);
+    return flight;
   }
   if (writer.phase == LedgerPhase::kClosing) {
     return BuildClosing(writer);
@@ -196,13 +222,6 @@
 
 }  // namespace
 
-auto SpacingFor(uint32_t instances, uint32_t table_writes_per_second)
-    -> milliseconds {
-  const auto writes = std::max<uint64_t>(table_writes_per_second, 1);
-  const auto total = uint64_t{instances} * 1000;
-  return milliseconds((total + writes - 1) / writes);
-}
-
 auto MakeLedgerWriter(const LedgerSettings& settings,
                       IncarnationRow row,
                       const Now& started) -> LedgerWriter {
@@ -211,11 +230,15 @@
   writer.row.started = started.wall;
   writer.row.operation_id = NextOperationId(writer);
   // The first entry waits for nothing.
-  writer.last_built =
-      started.boot - std::max(settings.interval, settings.spacing);
+  writer.last_built = started.boot - settings.interval;
+  writer.budget = StartBudget(settings.pace, started.boot);
   return writer;
 }
 
+auto SetPace(LedgerWriter& writer, const WritePace& pace) -> void {
+  writer.budget.pace = pace;
+}
+
 auto Add(LedgerWriter& writer,
          const AcceptedEntry& entry,
          Urgency urgency,
@@ -318,10 +341,12 @@
     -> std::optional<TableTransaction> {
   if (writer.flight) {
     auto& flight = *writer.flight;
-    if (flight.state != FlightState::kResend || now.boot < flight.resend_at) {
+    if (flight.state != FlightState::kResend || now.boot < flight.resend_at ||
+        !MayWrite(writer.budget, now.boot)) {
       return std::nullopt;
     }
     flight.state = FlightState::kWaiting;
+    TakeWrite(writer.budget, now.boot);
     return flight.transaction;
   }
   writer.flight = BuildFlight(writer, now);
--- a/servers/ledger/ledger_writer.h
+++ b/servers/ledger/ledger_writer.h
@@ -20,12 +20,13 @@
 #include "servers/ledger/entries.h"
 #include "servers/ledger/incarnation_row.h"
 #include "servers/ledger/table.h"
+#include "servers/ledger/write_budget.h"
 
 namespace boragecroft {
 
 struct LedgerSettings {
   milliseconds interval = milliseconds(500);  // between writes, unless urgent
-  milliseconds spacing = milliseconds(330);   // between any two; SpacingFor
+  WritePace pace;                             // at start; later SetPace
   milliseconds retry_delay = milliseconds(500);
   milliseconds suspect_after = seconds(2);  // see IsPlatformSuspect
   milliseconds segment_span = seconds(30);  // age range within one segment
@@ -33,10 +34,6 @@
   size_t max_pending_bytes = size_t{16} << 20U;
 };
 
-// The spacing by which `instances` share the table's writes evenly.
-auto SpacingFor(uint32_t instances, uint32_t table_writes_per_second)
-    -> milliseconds;
-
 enum class LedgerPhase : uint8_t {
   kOpening,  // the incarnation's row is not known to be durable
   kOpen,
@@ -45,7 +42,19 @@
   kDeposed,  // closed by another: nothing more may be started
 };
 
-enum class Urgency : uint8_t { kNormal, kUrgent };
+enum class Urgency : uint8_t {
+  kNormal,  // nobody waits for it: written after the interval
+  kPrompt,  // a job waits for it: written when the budget can spare it
+  kUrgent,  // a job of the most urgent class waits for it: takes any write
+};
+
+// Where the time of the entries went, summed since the start.
+struct LedgerTimes {
+  uint64_t segments = 0;
+  microseconds writing{};  // of segments, from their sending until durable
+  uint64_t urgent_entries = 0;
+  microseconds urgent_waiting{};  // from their adding until they were sent
+};
 
 enum class AddVerdict : uint8_t {
   kAdded,
@@ -88,6 +97,8 @@
   WallTime collected;          // record time
   WallTime key_time;  // the segment's key is no lower; at least the job's
                       // minted time, which another clock may have given
+  bool urgent = false;
+  Instant added;
   std::string text;
   std::string bare_text;  // without results; empty when there are none
 };
@@ -116,7 +127,8 @@
 struct PendingQueue {
   std::deque<PendingEntry> entries;
   uint64_t front_position = 0;
-  uint64_t urgent_end = 0;  // entries below this position are due at once
+  uint64_t urgent_end = 0;  // entries below this position are urgent ...
+  uint64_t prompt_end = 0;  // ... or prompt
   uint64_t bare_end = 0;    // entries below it have no results left to drop
   size_t bytes = 0;
 };
@@ -136,6 +148,8 @@
   std::optional<Closing> closing;
   std::unordered_map<JobId, detail::RecordedJob> jobs;
   Instant last_built;
+  WriteBudget budget;
+  LedgerTimes times;
   WallTime last_key;
   uint64_t next_operation = 0;
   uint32_t next_addendum = 0;
@@ -147,6 +161,9 @@
                       IncarnationRow row,
                       const Now& started) -> LedgerWriter;
 
+// Sets the pace of this instance's writes from now on.
+auto SetPace(LedgerWriter& writer, const WritePace& pace) -> void;
+
 // Collects an entry. Nothing is durable before an event says so.
 auto Add(LedgerWriter& writer,
          const AcceptedEntry& entry,
--- a/tests/servers/ledger/ledger_story_test.cc
+++ b/tests/servers/ledger/ledger_story_test.cc
@@ -378,7 +378,7 @@
   World world;
   world.writer = MakeLedgerWriter(
       {.interval = milliseconds(100),
-       .spacing = milliseconds(10),
+       .pace = {.spacing = milliseconds(10), .burst = 2},
        .retry_delay = milliseconds(50)},
       IncarnationRow{.incarnation = kOwner, .instance = "a1"}, world.now);
   for (const auto& [kind, a, b] : steps) {
--- a/tests/servers/ledger/ledger_writer_test.cc
+++ b/tests/servers/ledger/ledger_writer_test.cc
@@ -15,7 +15,7 @@
  protected:
   OpenLedgerTest() {
     writer_ = MakeLedgerWriter({.interval = milliseconds(200),
-                                .spacing = milliseconds(0),
+                                .pace = {.spacing = milliseconds(0)},
                                 .retry_delay = milliseconds(500),
                                 .suspect_after = seconds(2),
                                 .max_segment_bytes = 4096,
@@ -80,8 +80,8 @@
 }
 
 TEST_F(OpenLedgerTest, KeepsItsShareOfTheTablesWritesEvenWhenUrgent) {
-  EXPECT_EQ(SpacingFor(98, 300), milliseconds(327));
-  writer_.settings.spacing = milliseconds(100);
+  SetPace(writer_, {.spacing = milliseconds(100), .burst = 1});
+  TakeWrite(writer_.budget, now_.boot);
   Accept(1);
   Add(writer_, WatermarkEntry{Accept(2), 3}, Urgency::kUrgent, now_);
   EXPECT_FALSE(NextTransaction(writer_, now_));
@@ -89,6 +89,35 @@
   EXPECT_EQ(Settle().watermarks.size(), 3U);
 }
 
+TEST_F(OpenLedgerTest, WritesABurstOfUrgentEntriesAtOnceAfterAQuietSpell) {
+  SetPace(writer_, {.spacing = milliseconds(100), .burst = 3});
+  for (uint64_t n = 1; n <= 3; ++n) {
+    Add(writer_, WatermarkEntry{Accept(n), 3}, Urgency::kUrgent, now_);
+    EXPECT_EQ(Settle().watermarks.size(), 2U);
+  }
+  Add(writer_, WatermarkEntry{Accept(4), 3}, Urgency::kUrgent, now_);
+  EXPECT_FALSE(NextTransaction(writer_, now_));
+  Pass(milliseconds(100));
+  EXPECT_EQ(Settle().watermarks.size(), 2U);
+}
+
+TEST_F(OpenLedgerTest, LeavesWritesToUrgentEntriesWhileOthersWait) {
+  SetPace(writer_, {.spacing = milliseconds(20), .burst = 1});
+  TakeWrite(writer_.budget, now_.boot);
+  Add(writer_, WatermarkEntry{Accept(1), 3}, Urgency::kPrompt, now_);
+  writer_.settings.interval = milliseconds(5);
+  Pass(milliseconds(20));
+  EXPECT_FALSE(NextTransaction(writer_, now_));
+  Add(writer_, WatermarkEntry{Accept(2), 3}, Urgency::kUrgent, now_);
+  EXPECT_EQ(Settle().watermarks.size(), 4U);
+  Add(writer_, WatermarkEntry{Accept(3), 3}, Urgency::kPrompt, now_);
+  Pass(milliseconds(40));
+  EXPECT_EQ(Settle().watermarks.size(), 2U);
+  EXPECT_EQ(writer_.times.segments, 2U);
+  EXPECT_EQ(writer_.times.urgent_entries, 1U);
+  EXPECT_EQ(writer_.times.urgent_waiting, microseconds(0));
+}
+
 TEST_F(OpenLedgerTest, SkipsAnAddendumNumberThatIsTaken) {
   Finish(1, 10);
   const auto closing =
--- /dev/null
+++ b/tests/servers/ledger/write_budget_test.cc
@@ -0,0 +1,96 @@
+#include "servers/ledger/write_budget.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <optional>
+#include <tuple>
+#include <vector>
+
+#include "servers/ledger/ledger_writer.h"
+#include "tests/servers/ledger/fake_table.h"
+
+namespace boragecroft {
+namespace {
+
+constexpr uint32_t kTableWrites = 300;
+
+// The most writes in any stretch of a given length.
+auto MostWithin(const std::vector<Instant>& writes, microseconds stretch)
+    -> size_t {
+  size_t most = 0;
+  size_t first = 0;
+  for (size_t last = 0; last < writes.size(); ++last) {
+    while (writes[last] - writes[first] > stretch) {
+      ++first;
+    }
+    most = std::max(most, last - first + 1);
+  }
+  return most;
+}
+
+TEST(WriteBudgetTest, GivesAllInstancesTogetherNoMoreThanTheTableTakes) {
+  const auto in_window =
+      kTableWrites * static_cast<uint64_t>(kWriteWindow.count());
+  for (uint32_t n = 1; n <= in_window; ++n) {
+    const auto pace = PaceFor(n, kTableWrites);
+    const auto refilled =
+        static_cast<uint64_t>(microseconds(kWriteWindow) / pace.spacing);
+    ASSERT_LE(n * (pace.burst + refilled), in_window) << n;
+    // A single second may see the bursts too: still several hundred.
+    if (n <= 100) {
+      const auto in_second = microseconds(seconds(1)) / pace.spacing;
+      ASSERT_LE(n * (pace.burst + in_second), 400U) << n;
+    }
+  }
+  EXPECT_EQ(PaceFor(8, kTableWrites).burst, 4U);
+  EXPECT_EQ(PaceFor(98, kTableWrites).burst, 1U);
+}
+
+// Whatever is added whenever, however long the table takes and whatever becomes
+// of its answers, a writer keeps within its pace.
+RC_GTEST_PROP(WriteBudgetTest, HoldsInAnyLoad, ()) {
+  using Steps = std::vector<std::tuple<uint8_t, uint8_t, uint8_t>>;
+  const auto instances = *rc::gen::inRange<uint32_t>(1, 120);
+  const auto steps = *rc::gen::resize(600, rc::gen::arbitrary<Steps>());
+  const auto pace = PaceFor(instances, kTableWrites);
+  Now now{.boot = Instant(seconds(9)), .wall = WallTime(seconds(99))};
+  FakeTable table;
+  auto writer = MakeLedgerWriter({.pace = pace}, {.incarnation = {0xA}}, now);
+  const auto settle = [&](Fate fate) {
+    const auto transaction = NextTransaction(writer, now);
+    return transaction ? OnOutcome(writer, Send(table, *transaction, fate), now)
+                       : LedgerEvents();
+  };
+  RC_ASSERT(settle(Fate::kAnswered).opened);
+  std::vector<Instant> writes;
+  std::optional<TableTransaction> open;
+  uint64_t sequence = 0;
+  for (const auto& [kind, urgency, pause] : steps) {
+    // Floods, with a quiet spell now and then.
+    now.boot += milliseconds(pause % 16 == 0 ? pause * 8 : pause % 4);
+    Add(writer,
+        FinalEntry{.job = {.incarnation = {0xA}, .sequence = ++sequence}},
+        static_cast<Urgency>(urgency % 3), now);
+    if (open && kind % 2 == 0) {
+      const auto fate = kind % 32 == 0 ? Fate::kLost : Fate::kAnswered;
+      OnOutcome(writer, Send(table, *open, fate), now);
+      open.reset();
+    }
+    if (!open) {
+      open = NextTransaction(writer, now);
+      if (open) {
+        writes.push_back(now.boot);
+      }
+    }
+  }
+  for (const auto& it :
+       {milliseconds(100), milliseconds(1000), milliseconds(kWriteWindow)}) {
+    RC_ASSERT(MostWithin(writes, it) <=
+              pace.burst + static_cast<size_t>(it / pace.spacing));
+  }
+}
+
+}  // namespace
+}  // namespace boragecroft
