Read the platform's list again only when it changed

Cause: each daemon read the whole list each second: 153,787 bytes for 96 instances and 590 workers on the wire of the stand-in, of which it uses the instances and the workers of its own zone.

Change: the daemon names its zone, so that a platform may leave out other zones' workers, and sends the list's tag back; 304 says that the list is unchanged as of now, and the known one is applied once more, so what it lacks is missed for the same time as before. A platform that knows neither is read as before. The poll stays at 1 s, so how late a leaving worker or a change is seen stays the same.

Ruled out: reading by turns within the zone.

--- a/bench/capacity/main.cc
+++ b/bench/capacity/main.cc
@@ -317,6 +317,44 @@
   PrintSlope(reporter, "peer_memory", memory, "bytes");
 }
 
+// The body of the platform's list with all entry instances and the workers of
+// some zones.
+auto ListBytes(size_t zones) -> double {
+  boost::json::array listed;
+  for (const auto& it : ListedInstances(kZones * kZoneInstances)) {
+    listed.push_back({{"kind", "entry"},
+                      {"name", it.name},
+                      {"zone", it.zone},
+                      {"state", "live"},
+                      {"address", ToString(it.address)}});
+  }
+  for (const auto& it : WorkersOf(zones * kZoneWorkers).workers) {
+    listed.push_back({{"kind", "worker"},
+                      {"name", it.name},
+                      {"zone", "region-north-zone-0"},
+                      {"state", "live"},
+                      {"service", it.service},
+                      {"address", ToString(it.address)},
+                      {"incarnation", it.incarnation},
+                      {"slots", it.slots},
+                      {"cpu_millis", 4000},
+                      {"memory_mb", 16000},
+                      {"accelerators", 1}});
+  }
+  boost::json::object body;
+  body["as_of_ms"] = kNow.wall.time_since_epoch().count();
+  body["instances"] = std::move(listed);
+  return static_cast<double>(boost::json::serialize(body).size());
+}
+
+auto MeasureList(const Reporter& reporter) -> void {
+  std::vector<SizePoint> bytes;
+  for (const size_t zones : {1, 3, 6}) {
+    bytes.push_back({static_cast<double>(zones), ListBytes(zones)});
+  }
+  PrintSlope(reporter, "list_bytes_by_zones_of_workers", bytes, "bytes");
+}
+
 auto QuotaOf(size_t instances) -> QuotaState {
   QuotaState state;
   Members members;
@@ -441,6 +479,7 @@
   MeasureAllotment(reporter);
   MeasureAdmission(reporter);
   MeasureHeartbeats(reporter);
+  MeasureList(reporter);
   MeasureQuotas(reporter);
   MeasureLedger(reporter);
   MeasureDump(reporter);
--- a/peers/platform/platform_codec.cc
+++ b/peers/platform/platform_codec.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr Range kAnyVersion{.low = 0, .high = INT64_MAX};
+// A longer one is not worth sending back.
+constexpr size_t kMaxTagBytes = 128;
 constexpr Range kAnyCount{.low = 0, .high = UINT32_MAX};
 
 auto Get(std::string target) -> HttpRequest {
@@ -47,8 +49,13 @@
              "&limit=" + std::to_string(scan.limit));
 }
 
-auto Encode(const ListInstances& /*call*/) -> HttpRequest {
-  return Get("/v1/instances");
+auto Encode(const ListInstances& call) -> HttpRequest {
+  auto request = Get("/v1/instances?workers_zone=" + call.workers_zone);
+  if (!call.known_tag.empty()) {
+    request.headers.push_back(
+        HttpHeader{.name = "If-None-Match", .value = call.known_tag});
+  }
+  return request;
 }
 
 auto DecodeRow(ObjectReader& reader) -> TableRow {
@@ -188,6 +195,11 @@
   return errors.empty() ? decoded : outcome;
 }
 
+auto TagOf(const HttpResponse& response) -> std::string {
+  const auto tag = FindHeader(response.headers, "ETag");
+  return tag.size() <= kMaxTagBytes ? std::string(tag) : std::string();
+}
+
 auto ReadingOutcome(const PlatformCommand& command,
                     const Result<HttpResponse, HttpError>& answer)
     -> decltype(PlatformOutcome::result) {
@@ -198,6 +210,11 @@
   if (answer.value().status == 503) {
     return PlatformError::kUnavailable;
   }
+  const auto* list = std::get_if<ListInstances>(&command.call);
+  if (answer.value().status == 304 && list != nullptr &&
+      !list->known_tag.empty()) {
+    return ListUnchanged{};
+  }
   const auto body = ParseJson(answer.value().body);
   if (answer.value().status != 200 || body.has_error()) {
     return PlatformError::kUnknown;
@@ -205,6 +222,9 @@
   std::vector<FieldError> errors;
   ObjectReader reader(body.value(), "", errors);
   auto result = DecodeReading(command, reader);
+  if (auto* read = std::get_if<InstanceList>(&result)) {
+    read->tag = TagOf(answer.value());
+  }
   return errors.empty() ? result : PlatformError::kUnknown;
 }
 
--- a/peers/platform/platform_messages.h
+++ b/peers/platform/platform_messages.h
@@ -17,7 +17,16 @@
   std::string key;
 };
 
-struct ListInstances {};
+// Asks for the list. A platform may leave out the workers of other availability
+// zones than `workers_zone`, and answers that nothing changed when `known_tag`
+// still holds.
+struct ListInstances {
+  std::string workers_zone;
+  std::string known_tag;  // of the list that is known; empty: none
+};
+
+// The list with `known_tag` is the list of now.
+struct ListUnchanged {};
 
 // One call; `token` comes back with its outcome.
 struct PlatformCommand {
@@ -38,7 +47,12 @@
 
 struct PlatformOutcome {
   uint64_t token = 0;
-  std::variant<PlatformError, TableOutcome, TableRow, ScannedRows, InstanceList>
+  std::variant<PlatformError,
+               TableOutcome,
+               TableRow,
+               ScannedRows,
+               InstanceList,
+               ListUnchanged>
       result;
 };
 
--- a/servers/dispatcher/membership_flow.cc
+++ b/servers/dispatcher/membership_flow.cc
@@ -68,12 +68,44 @@
   dispatcher.next_share = step.now.boot;
 }
 
+// An unchanged list counts as one made now: what it lacks is still missing.
+auto ApplyUnchanged(Step& step) -> void {
+  auto& known = step.dispatcher.known_list;
+  if (!known) {
+    return;
+  }
+  if (known->as_of) {
+    *known->as_of += milliseconds(1);
+  }
+  ApplyList(step, *known);
+}
+
+auto OnListAnswer(Step& step, PlatformOutcome& outcome) -> void {
+  if (std::holds_alternative<ListUnchanged>(outcome.result)) {
+    ApplyUnchanged(step);
+    return;
+  }
+  auto* list = std::get_if<InstanceList>(&outcome.result);
+  if (list == nullptr) {
+    return;
+  }
+  ApplyList(step, *list);
+  auto& known = step.dispatcher.known_list;
+  known.reset();
+  if (!list->tag.empty()) {
+    std::erase_if(list->workers, [&](const PlatformWorker& it) {
+      return it.zone != step.dispatcher.settings.zone;
+    });
+    known = std::move(*list);
+  }
+}
+
 auto PollList(Step& step) -> void {
-  CallPlatform(step, ListInstances{}, [](Step& then, PlatformOutcome& outcome) {
-    if (const auto* list = std::get_if<InstanceList>(&outcome.result)) {
-      ApplyList(then, *list);
-    }
-  });
+  const auto& known = step.dispatcher.known_list;
+  ListInstances call;
+  call.workers_zone = step.dispatcher.settings.zone;
+  call.known_tag = known ? known->tag : std::string();
+  CallPlatform(step, std::move(call), OnListAnswer);
 }
 
 auto SlotsInUse(const ServiceState& service) -> uint32_t {
--- a/servers/dispatcher/state.h
+++ b/servers/dispatcher/state.h
@@ -172,6 +172,7 @@
   ConfigurationState configuration;
   Instant next_configuration_poll;
   Instant next_list_poll;
+  std::optional<InstanceList> known_list;  // the last one read, if it has a tag
   Instant next_share;
   Instant last_tick;
 
--- a/servers/model/worker.h
+++ b/servers/model/worker.h
@@ -35,7 +35,8 @@
 // One reading of the platform's list, which lags behind what is true.
 struct InstanceList {
   std::optional<WallTime>
-      as_of;  // when the platform made it; empty when it does not say
+      as_of;        // when the platform made it; empty when it does not say
+  std::string tag;  // of these contents; empty when the platform has none
   std::vector<PlatformInstance> instances;
   std::vector<PlatformWorker> workers;
 };
--- /dev/null
+++ b/tests/peers/platform/platform_list_test.cc
@@ -0,0 +1,48 @@
+// The platform's list, read again only when it changed.
+#include <gtest/gtest.h>
+
+#include "peers/platform/platform_codec.h"
+
+namespace boragecroft {
+namespace {
+
+auto Reading(std::string tag) -> PlatformCommand {
+  return {.token = 1,
+          .call = ListInstances{.workers_zone = "bilbao",
+                                .known_tag = std::move(tag)}};
+}
+
+auto Answer(int status, std::string tag) -> HttpResponse {
+  return {.status = status,
+          .headers = {{.name = "etag", .value = std::move(tag)}},
+          .body = status == 200 ? R"({"instances":[]})" : ""};
+}
+
+TEST(PlatformListTest, KeepsTheTagAndSendsItBack) {
+  const auto outcome = DecodePlatformAnswer(Reading(""), Answer(200, "\"7\""));
+  const auto list = std::get<InstanceList>(outcome.result);
+  EXPECT_EQ(list.tag, "\"7\"");
+  const auto request = EncodePlatformCall(Reading(list.tag));
+  EXPECT_EQ(request.target, "/v1/instances?workers_zone=bilbao");
+  EXPECT_EQ(FindHeader(request.headers, "If-None-Match"), "\"7\"");
+  EXPECT_TRUE(EncodePlatformCall(Reading("")).headers.empty());
+}
+
+TEST(PlatformListTest, TakesUnchangedOnlyWhenItAskedForChanges) {
+  EXPECT_TRUE(std::holds_alternative<ListUnchanged>(
+      DecodePlatformAnswer(Reading("\"7\""), Answer(304, "")).result));
+  EXPECT_TRUE(std::holds_alternative<PlatformError>(
+      DecodePlatformAnswer(Reading(""), Answer(304, "")).result));
+  const PlatformCommand row{.token = 1, .call = ReadRow{.key = "a"}};
+  EXPECT_TRUE(std::holds_alternative<PlatformError>(
+      DecodePlatformAnswer(row, Answer(304, "")).result));
+}
+
+TEST(PlatformListTest, KeepsNoTagThatIsTooLong) {
+  const auto outcome =
+      DecodePlatformAnswer(Reading(""), Answer(200, std::string(200, '7')));
+  EXPECT_EQ(std::get<InstanceList>(outcome.result).tag, "");
+}
+
+}  // namespace
+}  // namespace boragecroft
--- a/tests/servers/dispatcher/faults_test.cc
+++ b/tests/servers/dispatcher/faults_test.cc
@@ -1,6 +1,8 @@
 // One fault after the other, each told as a story.
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "tests/servers/dispatcher/virtual_fleet.h"
 
 namespace boragecroft {
@@ -30,6 +32,26 @@
   EXPECT_EQ(TotalStarts(id, 5), 5U);
 }
 
+auto Lists(const VirtualFleet& fleet, size_t node, const Address& address)
+    -> bool {
+  const auto& workers = fleet.nodes[node].dispatcher->fleet.workers;
+  return std::any_of(workers.begin(), workers.end(), [&](const auto& it) {
+    return it.listed.address == address && it.state != WorkerState::kGone;
+  });
+}
+
+TEST_F(ThreeInstances, ReadTheListAgainOnlyWhenItChanged) {
+  EXPECT_EQ(fleet->whole_lists, 3U);
+  const auto gone = fleet->endpoints.begin()->first;
+  fleet->endpoints.erase(gone);
+  Elapse(*fleet, seconds(20));
+  EXPECT_EQ(fleet->whole_lists, 6U);
+  for (size_t i = 0; i < 3; ++i) {
+    EXPECT_FALSE(Lists(*fleet, i, gone));
+    EXPECT_TRUE(Lists(*fleet, i, fleet->endpoints.begin()->first));
+  }
+}
+
 struct AfterAPlannedStop : ThreeInstances {
   JobId ran;
   JobId unused;
--- a/tests/servers/dispatcher/virtual_fleet.cc
+++ b/tests/servers/dispatcher/virtual_fleet.cc
@@ -79,6 +79,19 @@
   return list;
 }
 
+auto AnswerList(VirtualFleet& fleet, const ListInstances& call)
+    -> decltype(PlatformOutcome::result) {
+  auto list = ToList(fleet);
+  for (const auto& it : list.workers) {
+    list.tag += ToString(it.address) + (it.leaving ? "-" : "+");
+  }
+  if (list.tag == call.known_tag) {
+    return ListUnchanged{};
+  }
+  ++fleet.whole_lists;
+  return list;
+}
+
 auto Transact(VirtualFleet& fleet, const TableTransaction& transaction)
     -> TableOutcome {
   auto fate = Fate::kAnswered;
@@ -115,7 +128,7 @@
   } else if (const auto* scan = std::get_if<TableScan>(&command.call)) {
     outcome.result = ScannedRows{.rows = Scan(fleet.table, *scan)};
   } else {
-    outcome.result = ToList(fleet);
+    outcome.result = AnswerList(fleet, std::get<ListInstances>(command.call));
   }
   return outcome;
 }
--- a/tests/servers/dispatcher/virtual_fleet.h
+++ b/tests/servers/dispatcher/virtual_fleet.h
@@ -78,6 +78,7 @@
   std::set<Incarnation> unsafe;  // died, or were deposed: unrecorded answers of
                                  // theirs need not hold
   std::vector<std::string> violations;
+  uint64_t whole_lists = 0;  // that the platform sent
   uint64_t next_number = 1;
   uint64_t next_incarnation = 0x1000;
 };
--- a/tests/standins/platform/main.cc
+++ b/tests/standins/platform/main.cc
@@ -32,12 +32,14 @@
   milliseconds write_delay = kSyncedWrite;
   milliseconds read_delay{0};
   json::array list;
+  uint64_t list_version = 0;
   std::unique_ptr<HttpServer> server;
 };
 
 struct Platform {
   boost::asio::io_context context;
   Table table;
+  uint64_t unchanged_lists = 0;
   std::vector<std::unique_ptr<ZoneView>> zones;
   std::vector<HttpResponder> abandoned;  // requests that never get an answer
 };
@@ -94,6 +96,7 @@
   for (auto& it : platform.zones) {
     if (zone == "*" || zone == it->name) {
       it->list = body.at("instances").as_array();
+      ++it->list_version;
     }
   }
 }
@@ -102,6 +105,7 @@
   json::object body;
   body["writes"] = platform.table.writes;
   body["reads"] = platform.table.reads;
+  body["unchanged_lists"] = platform.unchanged_lists;
   body["rows"] = platform.table.rows.size();
   return body;
 }
@@ -119,6 +123,24 @@
                JsonReply(answer.status, answer.body), std::move(respond));
 }
 
+// The list without the workers of other zones than `workers_zone`, if it names
+// one.
+auto ListJson(const ZoneView& zone, const std::string& workers_zone)
+    -> json::object {
+  json::array instances;
+  for (const auto& it : zone.list) {
+    const auto& entry = it.as_object();
+    const auto elsewhere = TextOr(entry, "kind", "") == "worker" &&
+                           TextOr(entry, "zone", "") != workers_zone;
+    if (workers_zone.empty() || !elsewhere) {
+      instances.push_back(it);
+    }
+  }
+  json::object body;
+  body["instances"] = std::move(instances);
+  return body;
+}
+
 auto Read(Platform& platform, const ZoneView& zone, const HttpRequest& request)
     -> json::object {
   ++platform.table.reads;
@@ -135,9 +157,27 @@
         platform.table, std::string(QueryParameter(request.target, "prefix")),
         std::string(QueryParameter(request.target, "after")), limit);
   }
-  json::object body;
-  body["instances"] = zone.list;
-  return body;
+  return ListJson(zone,
+                  std::string(QueryParameter(request.target, "workers_zone")));
+}
+
+auto Reading(Platform& platform,
+             const ZoneView& zone,
+             const HttpRequest& request) -> HttpResponse {
+  if (TargetPath(request.target) != "/v1/instances") {
+    return JsonReply(200, Read(platform, zone, request));
+  }
+  const auto tag = "\"" + std::to_string(zone.list_version) + "\"";
+  if (FindHeader(request.headers, "If-None-Match") == tag) {
+    ++platform.table.reads;
+    ++platform.unchanged_lists;
+    HttpResponse response;
+    response.status = 304;
+    return response;
+  }
+  auto response = JsonReply(200, Read(platform, zone, request));
+  response.headers.push_back(HttpHeader{.name = "ETag", .value = tag});
+  return response;
 }
 
 auto OnRequest(Platform& platform,
@@ -160,8 +200,7 @@
   } else if (path == "/v1/table/transact") {
     Write(platform, zone, request, std::move(respond));
   } else {
-    RespondLater(platform, zone.read_delay,
-                 JsonReply(200, Read(platform, zone, request)),
+    RespondLater(platform, zone.read_delay, Reading(platform, zone, request),
                  std::move(respond));
   }
 }
