Bound the memory of kept answers by what the records hold

Cause: every ended job stayed in memory for 10 min with its payloads, its submission and its answer.

Change: an ended job drops its payloads. Over `answer_memory_mb` (32) the oldest answers that a durable final entry holds whole leave the memory and come from the record. An answer whose record lost its results, one of the addendum and one that is not durable yet stay. The ledger's events name the final entries without results.

Ruled out: dropping results only (most of a single-task job is not its result), and dropping what was fetched once (a caller that lost the answer asks again, and the bound must hold for those that never fetch, too).

--- a/bench/path/main.cc
+++ b/bench/path/main.cc
@@ -136,6 +136,10 @@
   return starts;
 }
 
+auto Megabytes(pid_t pid) -> double {
+  return static_cast<double>(ResidentBytes(pid)) / (1 << 20);
+}
+
 // Keeps `open` requests open all the time, spread over all instances.
 auto MeasureThroughput(PathRun& run,
                        const std::string& name,
@@ -173,13 +177,11 @@
               static_cast<double>(busy.count()) / 1e6 / elapsed, "cores");
   PrintFigure(run.reporter, name + "_not_done",
               static_cast<double>(report.requests - report.done), "requests");
+  PrintFigure(run.reporter, name + "_resident_after",
+              Megabytes(run.cluster.Instances()[0].process->Pid()), "MB");
   PrintLoadAverage(run.reporter, name + "_load_average");
 }
 
-auto Megabytes(pid_t pid) -> double {
-  return static_cast<double>(ResidentBytes(pid)) / (1 << 20);
-}
-
 // Resident memory while jobs of 2,000 tasks wait and run.
 auto MeasureMemory(PathRun& run) -> void {
   const auto pid = run.cluster.Instances()[0].process->Pid();
--- a/main/daemon/settings_map.cc
+++ b/main/daemon/settings_map.cc
@@ -23,6 +23,7 @@
   out.configuration_poll_interval = settings.configuration_poll_interval;
   out.list_poll_interval = settings.list_poll_interval;
   out.ledger.interval = settings.ledger_flush_interval;
+  out.max_answer_bytes = size_t{settings.answer_memory_mb} << 20U;
   out.relay_timeout = settings.peer_timeout;
   out.drain_timeout = settings.drain_timeout;
   out.balancer_grace = settings.balancer_grace;
--- a/main/settings/daemon_settings.h
+++ b/main/settings/daemon_settings.h
@@ -39,6 +39,7 @@
   milliseconds drain_timeout{30000};
   milliseconds balancer_grace{3000};
 
+  uint32_t answer_memory_mb = 32;
   uint32_t caller_ring_size = 4096;
   uint32_t endpoint_ring_size = 16384;
   uint32_t instance_ring_size = 4096;
--- a/main/settings/settings_reference.cc
+++ b/main/settings/settings_reference.cc
@@ -55,7 +55,7 @@
                std::to_string((defaults.*it.member).count()), it.meaning);
   }
   for (const auto& it : detail::CountKeys()) {
-    out += Row(it.key, Allowed(it.range, " messages"),
+    out += Row(it.key, Allowed(it.range, it.unit),
                std::to_string(defaults.*it.member), it.meaning);
   }
   return out;
--- a/main/settings/settings_table.cc
+++ b/main/settings/settings_table.cc
@@ -68,17 +68,25 @@
 };
 
 constexpr std::array kCountKeys = {
-    CountKey{"caller_ring_size", &S::caller_ring_size, kRingSize,
+    CountKey{"answer_memory_mb",
+             &S::answer_memory_mb,
+             {.low = 1, .high = 65'536},
+             " MB",
+             "Memory for the answers of ended jobs; over it, the oldest that "
+             "are recorded come from the record."},
+    CountKey{"caller_ring_size", &S::caller_ring_size, kRingSize, " messages",
              "Requests of callers that wait for the dispatching thread."},
     CountKey{"endpoint_ring_size", &S::endpoint_ring_size, kRingSize,
+             " messages",
              "Starts and answers between the dispatching and endpoint "
              "threads."},
     CountKey{"instance_ring_size", &S::instance_ring_size, kRingSize,
-             "Messages from and to other instances."},
+             " messages", "Messages from and to other instances."},
     CountKey{"platform_ring_size", &S::platform_ring_size, kRingSize,
+             " messages",
              "Reads and writes that wait for the platform's thread."},
     CountKey{"operator_ring_size", &S::operator_ring_size, kRingSize,
-             "Requests of operators that wait for an answer."},
+             " messages", "Requests of operators that wait for an answer."},
 };
 
 }  // namespace
--- a/main/settings/settings_table.h
+++ b/main/settings/settings_table.h
@@ -36,6 +36,7 @@
   std::string_view key;
   uint32_t DaemonSettings::*member;
   Range range;
+  std::string_view unit;  // with the space before it
   std::string_view meaning;
 };
 
--- a/servers/dispatcher/job_table.cc
+++ b/servers/dispatcher/job_table.cc
@@ -35,6 +35,33 @@
          !IsPlatformSuspect(step.dispatcher.ledger, step.now);
 }
 
+// Roughly what an ended job takes, with its nodes in the tables.
+auto KeptBytes(const Job& job) -> size_t {
+  constexpr size_t kNodeBytes = 256;
+  auto bytes = kNodeBytes + sizeof(Job) + sizeof(Submission) +
+               sizeof(CallerAnswer) + 2 * job.tasks.size() + job.reason.size();
+  for (const auto& it : job.answer->results) {
+    bytes += sizeof(it) + it.size();
+  }
+  return bytes;
+}
+
+// An ended job starts nothing more: its payloads are not needed.
+auto DropPayloads(Job& job) -> void {
+  auto submission = std::make_shared<Submission>(*job.submission);
+  submission->payloads = {};
+  job.submission = std::move(submission);
+}
+
+auto ForgetJob(Dispatcher& dispatcher, const JobId& id) -> void {
+  const auto it = dispatcher.jobs.find(id);
+  if (it == dispatcher.jobs.end()) {
+    return;
+  }
+  dispatcher.kept_answer_bytes -= it->second.kept_bytes;
+  dispatcher.jobs.erase(it);
+}
+
 auto AnswerWaiters(Step& step, Job& job) -> void {
   for (const auto& it : std::exchange(job.waiters, {})) {
     Reply(step, it.reply_to, AnswerReply{.answer = job.answer});
@@ -52,7 +79,7 @@
 // was derived without this owner.
 auto FinishJob(Step& step, Job& job) -> void {
   auto& dispatcher = step.dispatcher;
-  const auto& id = job.submission->id;
+  const auto id = job.submission->id;
   job.state = FinalState(job);
   --dispatcher.active_jobs;
   job.finished = step.now.boot;
@@ -70,6 +97,9 @@
   }
   job.results = {};
   job.answer = std::move(answer);
+  DropPayloads(job);
+  job.kept_bytes = KeptBytes(job);
+  dispatcher.kept_answer_bytes += job.kept_bytes;
   dispatcher.deadlines.erase({job.deadline, id});
   const auto* configuration = InForce(dispatcher);
   const auto retention = configuration == nullptr
@@ -122,11 +152,22 @@
     if (it != dispatcher.jobs.end() && !it->second.final_durable) {
       return;
     }
-    dispatcher.jobs.erase(id);
+    ForgetJob(dispatcher, id);
     dispatcher.finished.pop_front();
   }
 }
 
+// What leaves the memory here is answered from the records.
+auto BoundAnswers(Dispatcher& dispatcher) -> void {
+  auto& replaceable = dispatcher.replaceable;
+  while (!replaceable.empty() &&
+         (dispatcher.kept_answer_bytes > dispatcher.settings.max_answer_bytes ||
+          !dispatcher.jobs.contains(replaceable.front()))) {
+    ForgetJob(dispatcher, replaceable.front());
+    replaceable.pop_front();
+  }
+}
+
 }  // namespace
 
 auto TakeJob(Step& step,
@@ -257,6 +298,7 @@
   }
   ExpireWaits(step);
   ForgetAnswers(step);
+  BoundAnswers(step.dispatcher);
 }
 
 }  // namespace boragecroft
--- a/servers/dispatcher/record_flow.cc
+++ b/servers/dispatcher/record_flow.cc
@@ -1,6 +1,7 @@
 #include "servers/dispatcher/record_flow.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "core/log/log.h"
@@ -16,6 +17,18 @@
   return job.class_index == 0 ? Urgency::kUrgent : Urgency::kPrompt;
 }
 
+// A record that holds the whole answer can stand for the one in memory.
+auto NoteReplaceable(Step& step, const LedgerEvents& events) -> void {
+  auto& dispatcher = step.dispatcher;
+  const std::set<JobId> bare(events.without_results.begin(),
+                             events.without_results.end());
+  for (const auto& it : events.finals) {
+    if (!bare.contains(it) && dispatcher.jobs.contains(it)) {
+      dispatcher.replaceable.push_back(it);
+    }
+  }
+}
+
 auto Apply(Step& step, const LedgerEvents& events) -> void {
   auto& dispatcher = step.dispatcher;
   if (events.opened) {
@@ -30,6 +43,7 @@
   for (const auto& it : events.finals) {
     NoteFinalDurable(step, it);
   }
+  NoteReplaceable(step, events);
   for (const auto& it : events.watermarks) {
     RaiseDispatchLimit(step, it.job, it.started_below);
   }
--- a/servers/dispatcher/state.h
+++ b/servers/dispatcher/state.h
@@ -48,6 +48,8 @@
   milliseconds query_timeout{500};
   milliseconds answer_hold{
       2000};  // longest wait for the record before an answer
+  // Over this, the oldest answers that the records hold leave the memory.
+  size_t max_answer_bytes = size_t{32} << 20U;
   milliseconds drain_timeout{30000};
   milliseconds balancer_grace{
       3000};  // until the balancer has noticed that this instance is leaving
@@ -82,6 +84,7 @@
   std::string reason;
   std::shared_ptr<const CallerAnswer> answer;  // once final
   bool final_durable = false;
+  size_t kept_bytes = 0;  // roughly, once final
   Instant finished;
   std::vector<JobWaiter> waiters;
 };
@@ -182,6 +185,9 @@
   std::set<std::pair<Instant, JobId>> deadlines;  // of active jobs
   std::deque<std::pair<Instant, JobId>>
       finished;  // by the time when their answers may be dropped
+  // Ended jobs whose answers the records hold whole, the oldest first.
+  std::deque<JobId> replaceable;
+  size_t kept_answer_bytes = 0;  // of ended jobs
   std::map<std::string, ServiceState> services;
   std::unordered_map<JobId, RememberedRefusal> refused;
   std::deque<std::pair<Instant, JobId>> refused_until;
--- a/servers/dispatcher/state_dump.cc
+++ b/servers/dispatcher/state_dump.cc
@@ -127,6 +127,7 @@
 auto SizesOf(const Dispatcher& dispatcher) -> json::object {
   json::object sizes;
   sizes["jobs"] = dispatcher.jobs.size();
+  sizes["kept_answer_bytes"] = dispatcher.kept_answer_bytes;
   sizes["active_jobs"] = dispatcher.active_jobs;
   sizes["tasks_in_progress"] = dispatcher.in_progress.size();
   sizes["delayed_tasks"] = dispatcher.delayed.size();
--- a/servers/ledger/ledger_settle.cc
+++ b/servers/ledger/ledger_settle.cc
@@ -36,6 +36,9 @@
     case PendingEntry::Kind::kFinal:
       (kind == FlightKind::kAddendum ? events.addendum_finals : events.finals)
           .push_back(entry.job);
+      if (entry.results_dropped) {
+        events.without_results.push_back(entry.job);
+      }
       return;
     case PendingEntry::Kind::kRefused:
       return;
--- a/servers/ledger/ledger_writer.cc
+++ b/servers/ledger/ledger_writer.cc
@@ -55,6 +55,7 @@
     if (!it.bare_text.empty()) {
       queue.bytes -= it.text.size() - it.bare_text.size();
       it.text = std::exchange(it.bare_text, {});
+      it.results_dropped = true;
       ++writer.dropped_results;
     }
     ++queue.bare_end;
@@ -307,6 +308,7 @@
   if (pending.text.size() + kSegmentHeadBytes > room &&
       !pending.bare_text.empty()) {
     pending.text = std::exchange(pending.bare_text, {});
+    pending.results_dropped = true;
     ++writer.dropped_results;
   }
   return Push(writer, std::move(pending), urgency);
--- a/servers/ledger/ledger_writer.h
+++ b/servers/ledger/ledger_writer.h
@@ -81,6 +81,7 @@
   bool deposed = false;
   std::vector<DurableWatermark> watermarks;
   std::vector<JobId> finals;           // durable in the ledger
+  std::vector<JobId> without_results;  // of these, the results were dropped
   std::vector<JobId> addendum_finals;  // durable beside the closed ledger
   std::vector<std::string> read_back;  // rows to read now for OnReadBack
 };
@@ -98,6 +99,7 @@
   WallTime key_time;  // the segment's key is no lower; at least the job's
                       // minted time, which another clock may have given
   bool urgent = false;
+  bool results_dropped = false;
   Instant added;
   std::string text;
   std::string bare_text;  // without results; empty when there are none
--- a/tests/servers/dispatcher/faults_test.cc
+++ b/tests/servers/dispatcher/faults_test.cc
@@ -32,6 +32,46 @@
   EXPECT_EQ(TotalStarts(id, 5), 5U);
 }
 
+auto AnswerTold(const VirtualFleet& fleet, uint64_t number)
+    -> const CallerAnswer& {
+  return *std::get<AnswerReply>(fleet.asked.at(number).replies.back()).answer;
+}
+
+TEST_F(ThreeInstances, AnswerFromTheRecordWhatMemoryHasNoRoomFor) {
+  fleet->nodes[0].dispatcher->settings.max_answer_bytes = 0;
+  const auto id = FetchId(*fleet, 0).value();
+  const auto first = Submit(*fleet, 0, MakeJob(id, 3));
+  Elapse(*fleet, seconds(5));
+  EXPECT_FALSE(fleet->nodes[0].dispatcher->jobs.contains(id));
+  EXPECT_EQ(fleet->nodes[0].dispatcher->kept_answer_bytes, 0U);
+  const auto here = Fetch(*fleet, 0, id);
+  const auto there = Fetch(*fleet, 1, id);
+  const auto again = Submit(*fleet, 2, MakeJob(id, 3));
+  Elapse(*fleet, seconds(5));
+  for (const auto it : {here, there, again}) {
+    EXPECT_EQ(StateTold(*fleet, it), JobState::kDone);
+    EXPECT_EQ(AnswerTold(*fleet, it).results,
+              AnswerTold(*fleet, first).results);
+    EXPECT_EQ(AnswerTold(*fleet, it).tasks, AnswerTold(*fleet, first).tasks);
+  }
+  EXPECT_EQ(TotalStarts(id, 3), 3U);
+}
+
+TEST_F(ThreeInstances, KeepAnswersUntilTheyAreRecorded) {
+  auto& owner = *fleet->nodes[0].dispatcher;
+  owner.settings.max_answer_bytes = 0;
+  const auto id = FetchId(*fleet, 0).value();
+  Submit(*fleet, 0, MakeJob(id, 3));
+  Elapse(*fleet, milliseconds(60));
+  fleet->platform_down = true;
+  Elapse(*fleet, seconds(10));
+  ASSERT_TRUE(owner.jobs.contains(id));
+  EXPECT_GT(owner.kept_answer_bytes, 0U);
+  EXPECT_EQ(owner.jobs.at(id).submission->payloads.size(), 0U);
+  Heal(*fleet);
+  EXPECT_FALSE(owner.jobs.contains(id));
+}
+
 auto Lists(const VirtualFleet& fleet, size_t node, const Address& address)
     -> bool {
   const auto& workers = fleet.nodes[node].dispatcher->fleet.workers;
--- a/tests/servers/ledger/ledger_writer_test.cc
+++ b/tests/servers/ledger/ledger_writer_test.cc
@@ -118,6 +118,16 @@
   EXPECT_EQ(writer_.times.urgent_waiting, microseconds(0));
 }
 
+TEST_F(OpenLedgerTest, NamesFinalEntriesThatLackTheirResults) {
+  Finish(1, 10);
+  Finish(2, 5000);
+  Pass(milliseconds(200));
+  const auto events = Settle();
+  EXPECT_EQ(events.finals.size(), 2U);
+  EXPECT_EQ(events.without_results,
+            (std::vector{JobId{.incarnation = kOwner, .sequence = 2}}));
+}
+
 TEST_F(OpenLedgerTest, SkipsAnAddendumNumberThatIsTaken) {
   Finish(1, 10);
   const auto closing =
