--- a/servers/dispatcher/state_dump.cc
+++ b/servers/dispatcher/state_dump.cc
@@ -117,6 +117,10 @@
   it["write_in_flight"] = ledger.flight.has_value();
   it["platform_suspect"] = IsPlatformSuspect(ledger, now);
   it["dropped_results"] = ledger.dropped_results;
+  it["segments"] = ledger.times.segments;
+  it["writing_us"] = ledger.times.writing.count();
+  it["urgent_entries"] = ledger.times.urgent_entries;
+  it["urgent_waiting_us"] = ledger.times.urgent_waiting.count();
   return it;
 }
 
@@ -133,6 +137,7 @@
 auto SizesOf(const Dispatcher& dispatcher) -> json::object {
   json::object sizes;
   sizes["jobs"] = dispatcher.jobs.size();
+  sizes["kept_answer_bytes"] = dispatcher.kept_answer_bytes;
   sizes["active_jobs"] = dispatcher.active_jobs;
   sizes["tasks_in_progress"] = dispatcher.in_progress.size();
   sizes["delayed_tasks"] = dispatcher.delayed.size();
