--- a/core/http/http_server.cc
+++ b/core/http/http_server.cc
@@ -7,6 +7,8 @@
 #include <unordered_set>
 #include <utility>
 
+#include "core/net/listening.h"
+
 namespace boragecroft {
 
 namespace asio = boost::asio;
@@ -286,25 +288,7 @@
     -> Result<std::unique_ptr<HttpServer>, std::string> {
   auto state = std::make_shared<detail::HttpServerState>(
       context, std::move(options), std::move(callbacks));
-  const auto& listen = state->options.listen;
-  boost::system::error_code ec;
-  const auto ip = asio::ip::make_address(listen.ip, ec);
-  if (ec) {
-    return "cannot listen on " + ToString(listen) + ": " + ec.message();
-  }
-  const tcp::endpoint endpoint(ip, listen.port);
-  auto& acceptor = state->acceptor;
-  acceptor.open(endpoint.protocol(), ec);
-  if (!ec) {
-    acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
-    acceptor.bind(endpoint, ec);
-  }
-  if (!ec) {
-    acceptor.listen(asio::socket_base::max_listen_connections, ec);
-  }
-  if (ec) {
-    return "cannot listen on " + ToString(listen) + ": " + ec.message();
-  }
+  BOOST_OUTCOME_TRY(StartListening(state->acceptor, state->options.listen));
   detail::Accept(state);
   return std::unique_ptr<HttpServer>(new HttpServer(std::move(state)));
 }
--- a/peers/instance/instance_link.cc
+++ b/peers/instance/instance_link.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "core/log/log.h"
+#include "core/net/listening.h"
 #include "peers/instance/instance_codec.h"
 
 namespace boragecroft {
@@ -255,23 +256,7 @@
     -> Result<std::unique_ptr<InstanceLink>, std::string> {
   auto state = std::make_shared<detail::InstanceLinkState>(
       context, std::move(on_message));
-  boost::system::error_code ec;
-  const tcp::endpoint endpoint(asio::ip::make_address(address.ip, ec),
-                               address.port);
-  auto& acceptor = state->acceptor;
-  if (!ec) {
-    acceptor.open(endpoint.protocol(), ec);
-  }
-  if (!ec) {
-    acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
-    acceptor.bind(endpoint, ec);
-  }
-  if (!ec) {
-    acceptor.listen(asio::socket_base::max_listen_connections, ec);
-  }
-  if (ec) {
-    return "cannot listen on " + ToString(address) + ": " + ec.message();
-  }
+  BOOST_OUTCOME_TRY(StartListening(state->acceptor, address));
   detail::Accept(state);
   return std::unique_ptr<InstanceLink>(new InstanceLink(std::move(state)));
 }
--- /dev/null
+++ b/tests/core/net/listening_test.cc
@@ -0,0 +1,42 @@
+#include "core/net/listening.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/io_context.hpp>
+
+namespace boragecroft {
+namespace {
+
+using Acceptor = boost::asio::ip::tcp::acceptor;
+
+struct AServerThatListens : testing::Test {
+  boost::asio::io_context context;
+  Acceptor acceptor{context};
+
+  auto FaultAt(const Address& address) -> std::string {
+    Acceptor second(context);
+    const auto result = StartListening(second, address);
+    return result.has_error() ? result.error() : std::string();
+  }
+};
+
+TEST_F(AServerThatListens, GetsAPortFromTheSystem) {
+  ASSERT_TRUE(StartListening(acceptor, Address{.ip = "127.0.0.1", .port = 0}));
+  EXPECT_NE(acceptor.local_endpoint().port(), 0);
+}
+
+TEST_F(AServerThatListens, IsToldWhichAddressIsTaken) {
+  ASSERT_TRUE(StartListening(acceptor, Address{.ip = "127.0.0.1", .port = 0}));
+  const Address taken{.ip = "127.0.0.1",
+                      .port = acceptor.local_endpoint().port()};
+  EXPECT_TRUE(FaultAt(taken).starts_with("cannot listen on " + ToString(taken)))
+      << FaultAt(taken);
+}
+
+TEST_F(AServerThatListens, IsToldWhichAddressIsNoIpNumber) {
+  EXPECT_TRUE(FaultAt(Address{.ip = "nowhere", .port = 1})
+                  .starts_with("cannot listen on nowhere:1"));
+}
+
+}  // namespace
+}  // namespace boragecroft
