--- a/servers/dispatcher/job_table.cc
+++ b/servers/dispatcher/job_table.cc
@@ -41,7 +41,7 @@
   auto bytes = kNodeBytes + sizeof(Job) + sizeof(Submission) +
                sizeof(CallerAnswer) + 2 * job.tasks.size() + job.reason.size();
   for (const auto& it : job.answer->results) {
-    bytes += sizeof(it) + it.size();
+    bytes += sizeof(std::string) + it.size();
   }
   return bytes;
 }
