Tell operators how far a planned stop is

Before: `AnInstance.ThatIsAskedToStopTellsHowFarItIs` got "leaving" when finishing and later. After: it passes.

--- a/servers/dispatcher/operator_flow.cc
+++ b/servers/dispatcher/operator_flow.cc
@@ -96,9 +96,25 @@
   ReplyJson(step, number, 200, CountersOf(step.dispatcher));
 }
 
+auto PhaseName(DrainPhase phase) -> std::string_view {
+  switch (phase) {
+    case DrainPhase::kServing:
+      return "serving";
+    case DrainPhase::kLeaving:
+      return "leaving";
+    case DrainPhase::kFinishing:
+      return "finishing";
+    case DrainPhase::kFlushing:
+      return "flushing";
+    case DrainPhase::kStopped:
+      return "stopped";
+  }
+  return "stopped";
+}
+
 auto Serve(Step& step, uint64_t number, const StartDrain& /*call*/) -> void {
   BeginDrain(step);
-  ReplyJson(step, number, 202, {{"state", "leaving"}});
+  ReplyJson(step, number, 202, {{"state", PhaseName(step.dispatcher.drain)}});
 }
 
 }  // namespace
