Make the timeout of endpoint queries a setting

Cause: `query_timeout` of the dispatcher stood at 500 ms, and no setting reached it. `query_timeout_ms` does now, with the same default.

Before: `SettingsTest.TimeoutsReachTheDispatcher` saw an unknown key. `main_tests` links the daemon's module to hold the mapping.

--- a/main/daemon/settings_map.cc
+++ b/main/daemon/settings_map.cc
@@ -24,6 +24,7 @@
   out.list_poll_interval = settings.list_poll_interval;
   out.ledger.interval = settings.ledger_flush_interval;
   out.relay_timeout = settings.peer_timeout;
+  out.query_timeout = settings.query_timeout;
   out.drain_timeout = settings.drain_timeout;
   out.balancer_grace = settings.balancer_grace;
   return out;
--- a/main/settings/daemon_settings.h
+++ b/main/settings/daemon_settings.h
@@ -34,6 +34,7 @@
   milliseconds ledger_flush_interval{20};
   milliseconds platform_timeout{1000};
   milliseconds peer_timeout{500};
+  milliseconds query_timeout{500};
   milliseconds dead_after{30000};
   milliseconds pause_threshold{1000};
   milliseconds drain_timeout{30000};
--- a/main/settings/settings_table.cc
+++ b/main/settings/settings_table.cc
@@ -52,6 +52,9 @@
                 "Longest wait for an answer of the platform."},
     DurationKey{"peer_timeout_ms", &S::peer_timeout, kTimeout,
                 "Longest wait for an answer of another instance."},
+    DurationKey{"query_timeout_ms", &S::query_timeout, kTimeout,
+                "Longest wait for an endpoint's answer to a status query or a "
+                "stop."},
     DurationKey{"dead_after_ms", &S::dead_after, kTimeout,
                 "Silence after which an incarnation counts as dead for the "
                 "record; at least 3 heartbeat intervals."},
--- a/tests/main/settings/settings_test.cc
+++ b/tests/main/settings/settings_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include "main/daemon/settings_map.h"
 #include "main/settings/daemon_settings.h"
 #include "main/settings/settings_reference.h"
 #include "tests/main/source_files.h"
@@ -75,6 +76,17 @@
                    "address that no other key names"});
 }
 
+TEST(SettingsTest, TimeoutsReachTheDispatcher) {
+  const auto text = Edited("\"platform\"",
+                           "\"peer_timeout_ms\": 600, "
+                           "\"query_timeout_ms\": 700, \"platform\"");
+  const auto settings = ParseSettings(text, "d.jsonc");
+  ASSERT_TRUE(settings.has_value());
+  const auto dispatcher = ToDispatcherSettings(settings.value(), {});
+  EXPECT_EQ(dispatcher.relay_timeout, milliseconds(600));
+  EXPECT_EQ(dispatcher.query_timeout, milliseconds(700));
+}
+
 TEST(SettingsTest, EveryFaultIsReportedAtOnce) {
   // Three names and four addresses are missing.
   EXPECT_EQ(FaultsOf("{}").size(), 7U);
