Say why an id refused for the queue or the deadline stays refused

Question: `queue_full` and `deadline` use up the id; do callers want that? A fresh attempt under the same id was weighed and not taken: with two copies of one request under way, the first refused and the second accepted, a caller that had read the refusal and gone on under a new id would have its work done twice, and `not_run` would have been untrue. A time after which ids come back does not help, since no time bounds how late a copy comes.

--- a/tests/servers/dispatcher/faults_test.cc
+++ b/tests/servers/dispatcher/faults_test.cc
@@ -173,6 +173,20 @@
   EXPECT_EQ(StateTold(*fleet, again), JobState::kRefused);
 }
 
+// The caller may have gone on under a new id: a copy of the first request that
+// comes late must not start the work a second time.
+TEST_F(ThreeInstances, AnIdRefusedForItsDeadlineStaysRefused) {
+  // Run times are learned first.
+  Submit(*fleet, 0, MakeJob(FetchId(*fleet, 0).value(), 60));
+  Elapse(*fleet, seconds(20));
+  const auto id = FetchId(*fleet, 0).value();
+  const auto late = MakeJob(id, 2);
+  late->deadline = milliseconds(1);
+  ExpectRefused(late, Refusal::kDeadline);
+  ExpectRefused(MakeJob(id, 2), Refusal::kDeadline);
+  EXPECT_EQ(TotalStarts(id, 2), 0U);
+}
+
 struct OwnerDies : ThreeInstances, testing::WithParamInterface<int> {};
 
 TEST_P(OwnerDies, AtAnyMomentAndOthersTellWhatRan) {
