--- a/servers/dispatcher/task_settlement.cc
+++ b/servers/dispatcher/task_settlement.cc
@@ -5,6 +5,7 @@
 
 #include "core/log/log.h"
 #include "servers/dispatcher/dispatcher.h"
+#include "servers/dispatcher/exchange_end.h"
 #include "servers/dispatcher/job_table.h"
 #include "servers/dispatcher/task_flow.h"
 
@@ -17,98 +18,6 @@
 // an attempt.
 constexpr uint32_t kMaxQueries = 5;
 
-auto ToAnswer(ExchangeEnd end) -> EndpointAnswer {
-  switch (end) {
-    case ExchangeEnd::kBusy:
-      return EndpointAnswer::kBusy;
-    case ExchangeEnd::kDraining:
-      return EndpointAnswer::kDraining;
-    case ExchangeEnd::kCannotRun:
-      return EndpointAnswer::kCannotRun;
-    case ExchangeEnd::kOtherIncarnation:
-      return EndpointAnswer::kOtherIncarnation;
-    case ExchangeEnd::kNotSent:
-      return EndpointAnswer::kConnectFailed;
-    case ExchangeEnd::kSilent:
-    case ExchangeEnd::kProtocol:
-    case ExchangeEnd::kForgotten:
-      return EndpointAnswer::kSilent;
-    default:
-      return EndpointAnswer::kRan;
-  }
-}
-
-auto ToAttemptEnd(ExchangeEnd end) -> AttemptEnd {
-  switch (end) {
-    case ExchangeEnd::kBusy:
-    case ExchangeEnd::kOtherIncarnation:
-      return AttemptEnd::kBusy;
-    case ExchangeEnd::kDraining:
-      return AttemptEnd::kDraining;
-    case ExchangeEnd::kCannotRun:
-      return AttemptEnd::kCannotRun;
-    case ExchangeEnd::kNotSent:
-    case ExchangeEnd::kNotStarted:
-      return AttemptEnd::kNotSent;
-    case ExchangeEnd::kDone:
-      return AttemptEnd::kDone;
-    case ExchangeEnd::kFailed:
-      return AttemptEnd::kFailed;
-    default:
-      return AttemptEnd::kUnknown;
-  }
-}
-
-auto ToOutcome(ExchangeEnd end) -> std::optional<Outcome> {
-  switch (end) {
-    case ExchangeEnd::kDone:
-      return Outcome::kDone;
-    case ExchangeEnd::kFailed:
-      return Outcome::kFailed;
-    case ExchangeEnd::kNotSent:
-      return Outcome::kConnectFailed;
-    case ExchangeEnd::kSilent:
-    case ExchangeEnd::kProtocol:
-      return Outcome::kSilent;
-    default:
-      return std::nullopt;
-  }
-}
-
-auto Count(Counters& counters, ExchangeEnd end) -> void {
-  switch (end) {
-    case ExchangeEnd::kDone:
-      ++counters.attempts_done;
-      return;
-    case ExchangeEnd::kFailed:
-      ++counters.attempts_failed;
-      return;
-    case ExchangeEnd::kBusy:
-      ++counters.attempts_busy;
-      return;
-    case ExchangeEnd::kDraining:
-      ++counters.attempts_draining;
-      return;
-    case ExchangeEnd::kOtherIncarnation:
-      ++counters.attempts_other_incarnation;
-      return;
-    case ExchangeEnd::kForgotten:
-      ++counters.attempts_forgotten;
-      return;
-    case ExchangeEnd::kNotSent:
-      ++counters.attempts_not_sent;
-      return;
-    case ExchangeEnd::kSilent:
-      ++counters.attempts_silent;
-      return;
-    case ExchangeEnd::kProtocol:
-      ++counters.attempts_protocol_errors;
-      return;
-    default:
-      return;
-  }
-}
-
 // Tells the judge, unless the attempt failed because this instance stopped it.
 auto Judge(Step& step,
            const Job& job,
