--- a/servers/dispatcher/record_lookup.cc
+++ b/servers/dispatcher/record_lookup.cc
@@ -95,7 +95,8 @@
   auto unused = dispatcher.lookups.at(id).unused;
   auto waiting = TakeWaiting(step, id);
   if (successor == dispatcher.self) {
-    dispatcher.adopted[id.incarnation].unused = std::move(unused);
+    auto& adopted = dispatcher.adopted[id.incarnation];
+    adopted.unused = unused == nullptr ? adopted.unused : unused;
     for (auto& it : waiting) {
       ServeOwnRequest(step, it);
     }
