--- a/main/daemon/settings_map.cc
+++ b/main/daemon/settings_map.cc
@@ -25,6 +25,7 @@
   out.ledger.interval = settings.ledger_flush_interval;
   out.max_answer_bytes = size_t{settings.answer_memory_mb} << 20U;
   out.relay_timeout = settings.peer_timeout;
+  out.query_timeout = settings.query_timeout;
   out.drain_timeout = settings.drain_timeout;
   out.balancer_grace = settings.balancer_grace;
   return out;
