Take no instance for gone because it has no row yet

Cause: the row of an incarnation that started in an outage is absent. Now such an incarnation counts as gone once another one was heard, after this one had started, at each address that it may have; the id's minted time says by when its owner had started. Test: AnInstanceThatHasNoRowYetIsNotGone (failed first: the ledger of the living owner was closed, its job undecided).

--- a/servers/dispatcher/record_lookup.cc
+++ b/servers/dispatcher/record_lookup.cc
@@ -191,9 +191,14 @@
   });
 }
 
-auto RecordedOf(const std::optional<IncarnationRow>& row) -> RecordedInstance {
+// An owner had started when it minted the id; a successor without a row may
+// have started at any time.
+auto RecordedOf(const OpenLookup& open,
+                const std::optional<IncarnationRow>& row,
+                const Now& now) -> RecordedInstance {
   if (!row) {
-    return {};
+    const auto owner = open.ledger == open.id.incarnation;
+    return RecordedInstance{.started = owner ? open.id.minted : now.wall};
   }
   return RecordedInstance{
       .name = row->instance,
@@ -217,8 +222,8 @@
   }
   const auto own = open.ledger == dispatcher.self;
   if (!own && (!incarnation || !incarnation->closed)) {
-    if (!IsGone(dispatcher.membership, open.ledger, RecordedOf(incarnation),
-                step.now.boot)) {
+    if (!IsGone(dispatcher.membership, open.ledger,
+                RecordedOf(open, incarnation, step.now), step.now)) {
       GiveUp(step, id, "the instance that owns this id is out of reach");
       return;
     }
--- a/servers/membership/membership.cc
+++ b/servers/membership/membership.cc
@@ -7,6 +7,7 @@
 
 constexpr size_t kMaxReplaced = 4096;
 constexpr size_t kMaxUnechoed = 32;
+constexpr milliseconds kClockDifference{2000};
 
 auto FindByAddress(Membership& membership, const Address& address)
     -> PeerInstance* {
@@ -73,6 +74,23 @@
   return !peer.listed && unheard && now - peer.last_listed > limit;
 }
 
+// Whether another incarnation was heard at each address where this one, which
+// had started by `started`, may be. The clocks of two instances may differ by
+// kClockDifference.
+auto IsNowhere(const Membership& membership,
+               Incarnation incarnation,
+               WallTime started,
+               const Now& now) -> bool {
+  const auto age = now.wall - started - kClockDifference;
+  return std::all_of(
+      membership.peers.begin(), membership.peers.end(),
+      [&](const PeerInstance& it) {
+        return it.incarnation != incarnation &&
+               ((it.last_heard && now.boot - *it.last_heard < age) ||
+                IsForgettable(membership, it, now.boot));
+      });
+}
+
 }  // namespace
 
 auto AddSeedPeers(Membership& membership,
@@ -233,7 +251,7 @@
 auto IsGone(const Membership& membership,
             Incarnation incarnation,
             const RecordedInstance& recorded,
-            Instant now) -> bool {
+            const Now& now) -> bool {
   const auto& [name, address, started] = recorded;
   if (IsReplaced(membership, incarnation)) {
     return true;
@@ -243,18 +261,21 @@
   }
   const auto limit = membership.settings.dead_after;
   const auto list_is_fresh =
-      membership.list_applied && now - *membership.list_applied < limit;
-  const auto watched_long_enough = now - membership.started > limit;
+      membership.list_applied && now.boot - *membership.list_applied < limit;
+  const auto watched_long_enough = now.boot - membership.started > limit;
+  if (name.empty()) {
+    return list_is_fresh && watched_long_enough &&
+           IsNowhere(membership, incarnation, started, now);
+  }
   for (const auto& it : membership.peers) {
-    if (it.incarnation != incarnation && it.address != address &&
-        (name.empty() || it.name != name)) {
+    if (it.address != address && it.name != name) {
       continue;
     }
-    const auto heard = it.last_heard && now - *it.last_heard < limit;
+    const auto heard = it.last_heard && now.boot - *it.last_heard < limit;
     if (heard && it.incarnation != incarnation && it.started > started) {
       return true;
     }
-    const auto listed = now - it.last_listed < limit;
+    const auto listed = now.boot - it.last_listed < limit;
     return !heard && !listed && list_is_fresh && watched_long_enough;
   }
   return list_is_fresh && watched_long_enough;
--- a/servers/membership/membership.h
+++ b/servers/membership/membership.h
@@ -119,7 +119,8 @@
 auto ReachableZonePeers(const Membership& membership, Instant now)
     -> std::vector<const PeerInstance*>;
 
-// What the records say of an incarnation; all of it empty without a row.
+// What the records say of an incarnation. Without a row, name and address are
+// empty, and it started at `started` or earlier.
 struct RecordedInstance {
   std::string name;
   Address address;
@@ -130,10 +131,12 @@
 // records: a newer one stands at its address, or neither the list nor a
 // heartbeat has shown its instance for `dead_after`. An older one at its
 // address says nothing: this instance may not have heard the newer one yet.
+// Without a row its address is unknown: it is gone once another one was heard,
+// after it had started, at each address that it may have.
 auto IsGone(const Membership& membership,
             Incarnation incarnation,
             const RecordedInstance& recorded,
-            Instant now) -> bool;
+            const Now& now) -> bool;
 
 }  // namespace boragecroft
 
--- a/tests/servers/dispatcher/faults_test.cc
+++ b/tests/servers/dispatcher/faults_test.cc
@@ -147,6 +147,22 @@
   EXPECT_EQ(StateTold(*fleet, asked), JobState::kDone);
 }
 
+TEST_F(ThreeInstances, AnInstanceThatHasNoRowYetIsNotGone) {
+  Elapse(*fleet, seconds(30));
+  fleet->cuts.insert({1, 2});
+  fleet->platform_down = true;
+  Kill(*fleet, 2);
+  Boot(*fleet, 2);
+  Elapse(*fleet, seconds(5));
+  const auto id = FetchId(*fleet, 2).value();
+  fleet->platform_down = false;
+  Submit(*fleet, 1, MakeJob(id, 2));
+  Elapse(*fleet, seconds(5));
+  const auto asked = Submit(*fleet, 2, MakeJob(id, 2));
+  Elapse(*fleet, seconds(5));
+  EXPECT_EQ(StateTold(*fleet, asked), JobState::kDone);
+}
+
 struct OwnerDies : ThreeInstances, testing::WithParamInterface<int> {};
 
 TEST_P(OwnerDies, AtAnyMomentAndOthersTellWhatRan) {
