Refuse no id for good while the ledger is being closed

It now answers "draining" with a time to retry, like to any submission. Test: AStoppingInstanceRefusesNoExpiredIdForGood (failed first: different ends).

--- a/servers/dispatcher/submitting.cc
+++ b/servers/dispatcher/submitting.cc
@@ -135,6 +135,12 @@
 // Recorded, so that others say the same once this instance has gone. An adopted
 // id is used up as well: its age is judged by clocks that may step.
 auto RefuseExpired(Step& step, const CallerRequest& request) -> void {
+  // A ledger that is being closed takes no refusal, and the successor judges
+  // for itself.
+  if (const auto obstacle = FindObstacle(step)) {
+    ReplyObstacle(step, request.reply_to, *obstacle);
+    return;
+  }
   const auto id = IdOf(request.call);
   const auto& partner = PartnerOf(request.call);
   if (id.incarnation != step.dispatcher.self) {
--- a/tests/servers/dispatcher/faults_test.cc
+++ b/tests/servers/dispatcher/faults_test.cc
@@ -163,6 +163,26 @@
   EXPECT_EQ(StateTold(*fleet, asked), JobState::kDone);
 }
 
+// A ledger that is being closed takes no more refusals.
+TEST_F(ThreeInstances, AStoppingInstanceRefusesNoExpiredIdForGood) {
+  const auto id = FetchId(*fleet, 2).value();
+  Elapse(*fleet, kIdTerm + seconds(1));
+  fleet->platform_down = true;
+  Drain(*fleet, 2);
+  Elapse(*fleet, seconds(5));
+  Submit(*fleet, 2, MakeJob(id, 1));
+  Elapse(*fleet, seconds(1));
+  fleet->platform_down = false;
+  Elapse(*fleet, seconds(8));
+  ASSERT_EQ(fleet->nodes[2].dispatcher, nullptr);
+  Kill(*fleet, 0);
+  Boot(*fleet, 0);
+  Elapse(*fleet, seconds(5));
+  const auto again = Fetch(*fleet, 1, id);
+  Elapse(*fleet, seconds(5));
+  EXPECT_NE(StateTold(*fleet, again), JobState::kActive);
+}
+
 struct OwnerDies : ThreeInstances, testing::WithParamInterface<int> {};
 
 TEST_P(OwnerDies, AtAnyMomentAndOthersTellWhatRan) {
