Serve no copy of a relayed request that was refused

Cause: a refusal such as "not_ready" leaves the id unused. The connections between instances send no frame twice, so this needs a network that does; the owner now remembers such relays for 30 s, up to 16,384 of them, and drops their copies. Test: ACopyOfARefusedRelayStartsNothing (failed first: one start).

--- a/servers/dispatcher/owner_routing.cc
+++ b/servers/dispatcher/owner_routing.cc
@@ -62,6 +62,10 @@
 
 auto OnRelayRequest(Step& step, Incarnation from, RelayRequest request)
     -> void {
+  const RefusedRelay relay{.from = from, .number = request.number};
+  if (step.dispatcher.refused_relays.contains(relay)) {
+    return;
+  }
   ++step.dispatcher.counters.relays_served;
   CallerRequest local;
   local.reply_to = ReplyTo{.number = request.number, .relay = from};
--- a/servers/dispatcher/replies.cc
+++ b/servers/dispatcher/replies.cc
@@ -3,6 +3,31 @@
 #include <utility>
 
 namespace boragecroft {
+namespace {
+
+constexpr size_t kMaxRefusedRelays = 16384;
+// Longer than a copy of a message can be on its way.
+constexpr milliseconds kRefusedRelayMemory{30000};
+
+auto LeavesIdUnused(Refusal refusal) -> bool {
+  return refusal == Refusal::kDraining || refusal == Refusal::kNotReady ||
+         refusal == Refusal::kOverloaded;
+}
+
+auto RememberRefusedRelay(Step& step, const ReplyTo& reply_to) -> void {
+  auto& dispatcher = step.dispatcher;
+  auto& until = dispatcher.refused_relays_until;
+  while (!until.empty() && (until.front().first <= step.now.boot ||
+                            until.size() >= kMaxRefusedRelays)) {
+    dispatcher.refused_relays.erase(until.front().second);
+    until.pop_front();
+  }
+  const RefusedRelay refused{.from = reply_to.relay, .number = reply_to.number};
+  dispatcher.refused_relays.insert(refused);
+  until.emplace_back(step.now.boot + kRefusedRelayMemory, refused);
+}
+
+}  // namespace
 
 auto Reply(Step& step, const ReplyTo& reply_to, CallerReplyBody body) -> void {
   if (reply_to.IsLocal()) {
@@ -27,6 +52,9 @@
                   std::string reason,
                   milliseconds retry_after) -> void {
   ++step.dispatcher.counters.jobs_refused[static_cast<size_t>(refusal)];
+  if (!reply_to.IsLocal() && LeavesIdUnused(refusal)) {
+    RememberRefusedRelay(step, reply_to);
+  }
   Reply(step, reply_to,
         RefusalReply{.refusal = refusal,
                      .reason = std::move(reason),
--- a/servers/dispatcher/state.h
+++ b/servers/dispatcher/state.h
@@ -141,6 +141,15 @@
   std::vector<CallerRequest> waiting;
 };
 
+// A relayed request that was refused without using up its id. Its caller was
+// told "not run", so a copy of the request must not be served later.
+struct RefusedRelay {
+  Incarnation from;
+  uint64_t number = 0;
+
+  auto operator<=>(const RefusedRelay&) const = default;
+};
+
 struct Dispatcher;
 
 // One event's context: the state, the time and where to put what follows from
@@ -205,6 +214,8 @@
   Membership membership;
   uint64_t next_relay = 1;
   std::unordered_map<uint64_t, RelayedRequest> relays;
+  std::set<RefusedRelay> refused_relays;
+  std::deque<std::pair<Instant, RefusedRelay>> refused_relays_until;
   std::unordered_map<JobId, OpenLookup> lookups;
   size_t open_claims = 0;  // of callers' keys
   Instant next_closing;    // closing gone ledgers is rate-limited
--- a/tests/servers/dispatcher/faults_test.cc
+++ b/tests/servers/dispatcher/faults_test.cc
@@ -183,6 +183,27 @@
   EXPECT_NE(StateTold(*fleet, again), JobState::kActive);
 }
 
+TEST_F(ThreeInstances, ACopyOfARefusedRelayStartsNothing) {
+  const auto id = FetchId(*fleet, 2).value();
+  const auto relay =
+      [this,
+       request = RelayRequest{
+           .number = 7, .call = SubmitRequest{.submission = MakeJob(id, 1)}}] {
+        Deliver(*fleet, 2, {}, [this, request](Step& step) {
+          OnPeerMessage(step, {.from = fleet->nodes[0].dispatcher->self,
+                               .body = request});
+        });
+      };
+  for (auto& it : fleet->nodes[2].dispatcher->fleet.workers) {
+    it.allotted_slots = 0;
+  }
+  relay();
+  Elapse(*fleet, seconds(1));
+  relay();
+  Elapse(*fleet, seconds(1));
+  EXPECT_EQ(TotalStarts(id, 1), 0U);
+}
+
 struct OwnerDies : ThreeInstances, testing::WithParamInterface<int> {};
 
 TEST_P(OwnerDies, AtAnyMomentAndOthersTellWhatRan) {
