Draw callers' keys and two availability zones into the stories

The drawn stories submit jobs under callers' own keys, again and through up to three instances at once, and ask with the key what became of them; a second property runs two zones with two instances each, with outages of one zone's platform. Cuts are now drawn between any two instances instead of neighbours, which would never have cut two instances of one zone. RunAJobOnceForAllSubmissionsUnderOneKey tells the plain story. Not drawn: different submissions under one key.

--- a/tests/servers/dispatcher/faults_test.cc
+++ b/tests/servers/dispatcher/faults_test.cc
@@ -31,6 +31,19 @@
   EXPECT_EQ(TotalStarts(id, 5), 5U);
 }
 
+TEST_F(ThreeInstances, RunAJobOnceForAllSubmissionsUnderOneKey) {
+  const auto job = MakeKeyedJob("key", 3);
+  std::vector<uint64_t> asked;
+  for (size_t i = 0; i < 6; ++i) {
+    asked.push_back(SubmitKeyed(*fleet, i % 3, "key", job));
+  }
+  Elapse(*fleet, seconds(5));
+  for (const auto it : asked) {
+    EXPECT_EQ(StateTold(*fleet, it), JobState::kDone);
+  }
+  EXPECT_EQ(TotalStarts(fleet->ids_of_keys.at("key"), 3), 3U);
+}
+
 struct AfterAPlannedStop : ThreeInstances {
   JobId ran;
   JobId unused;
--- a/tests/servers/dispatcher/promise_checks.cc
+++ b/tests/servers/dispatcher/promise_checks.cc
@@ -254,7 +254,7 @@
   auto known = Instant::max();
   const auto listed = fleet.leaving.find(start.endpoint);
   if (listed != fleet.leaving.end()) {
-    known = std::max(listed->second, fleet.platform_up_since);
+    known = std::max(listed->second, node.platform_up_since);
   }
   const auto told =
       fleet.told_leaving.find({node.dispatcher->self, start.endpoint});
--- a/tests/servers/dispatcher/promises_test.cc
+++ b/tests/servers/dispatcher/promises_test.cc
@@ -16,6 +16,8 @@
   kTenAtOnce,
   kFetch,
   kCancel,
+  kSubmitKeyed,
+  kKeyAgain,
   kKill,
   kPause,
   kResume,
@@ -30,6 +32,9 @@
   kCount
 };
 
+// What happens to nodes comes after what happens to jobs.
+constexpr auto kFirstOfNodes = static_cast<int>(Happening::kKill);
+
 struct Moment {
   Happening happening = Happening::kSubmit;
   uint32_t pick = 0;
@@ -40,8 +45,9 @@
   // Half of all moments are submissions.
   const auto kinds = rc::gen::weightedOneOf<int>(
       {{6, rc::gen::just(0)},
-       {5, rc::gen::inRange(1, 5)},
-       {6, rc::gen::inRange(5, static_cast<int>(Happening::kCount))}});
+       {5, rc::gen::inRange(1, kFirstOfNodes)},
+       {6,
+        rc::gen::inRange(kFirstOfNodes, static_cast<int>(Happening::kCount))}});
   return rc::gen::apply(
       [](int kind, uint32_t pick, uint32_t wait) {
         return Moment{static_cast<Happening>(kind), pick, wait};
@@ -56,9 +62,15 @@
      << it.wait_ms << "}";
 }
 
+struct KeyedJob {
+  std::string key;
+  std::shared_ptr<const Submission> submission;
+};
+
 struct Story {
   VirtualFleet& fleet;
   std::vector<JobId> ids;
+  std::vector<KeyedJob> keyed;
 
   auto AnyId(uint32_t pick) const -> const JobId& {
     return ids[pick % ids.size()];
@@ -78,12 +90,35 @@
                  pick % 3 == 0 ? "reminders" : "confirmations", pick % 4 == 0));
 }
 
+auto SubmitByKey(Story& story, const Moment& it) -> void {
+  auto& fleet = story.fleet;
+  if (it.happening == Happening::kSubmitKeyed) {
+    const auto key = "key-" + std::to_string(story.keyed.size());
+    story.keyed.push_back({key, MakeKeyedJob(key, 1 + it.pick % 5)});
+  }
+  if (story.keyed.empty()) {
+    return;
+  }
+  const auto again = it.happening == Happening::kKeyAgain;
+  const auto& job =
+      again ? story.keyed[it.pick % story.keyed.size()] : story.keyed.back();
+  const size_t copies = 1 + it.pick % 3;
+  for (size_t i = 0; i < copies; ++i) {
+    SubmitKeyed(fleet, (it.pick + i) % fleet.nodes.size(), job.key,
+                job.submission);
+  }
+}
+
 auto HappenToJobs(Story& story, const Moment& it) -> void {
   auto& fleet = story.fleet;
   if (it.happening == Happening::kSubmit) {
     SubmitNew(story, it.pick);
     return;
   }
+  if (it.happening >= Happening::kSubmitKeyed) {
+    SubmitByKey(story, it);
+    return;
+  }
   if (story.ids.empty()) {
     return;
   }
@@ -103,10 +138,16 @@
   }
 }
 
+auto OtherNode(const VirtualFleet& fleet, uint32_t pick) -> size_t {
+  const auto nodes = fleet.nodes.size();
+  return (pick + 1 + pick / nodes % (nodes - 1)) % nodes;
+}
+
 auto HappenToNodes(VirtualFleet& fleet, const Moment& it) -> void {
   const auto node = it.pick % fleet.nodes.size();
-  const auto endpoint = std::next(fleet.endpoints.begin(),
-                                  it.pick % (fleet.endpoints.size() - 1));
+  const auto endpoint =
+      std::next(fleet.endpoints.begin(),
+                it.pick % (fleet.endpoints.size() - fleet.lasting));
   switch (it.happening) {
     case Happening::kKill:
       Kill(fleet, node);
@@ -119,13 +160,18 @@
       fleet.nodes[node].paused = false;
       return;
     case Happening::kOutage:
-      fleet.platform_down = true;
+      if (it.pick % 3 == 0) {
+        fleet.zones_without_platform.insert(fleet.nodes[node].settings.zone);
+      } else {
+        fleet.platform_down = true;
+      }
       return;
     case Happening::kOutageEnds:
       fleet.platform_down = false;
+      fleet.zones_without_platform.clear();
       return;
     case Happening::kCut:
-      fleet.cuts.insert(std::minmax(node, (node + 1) % fleet.nodes.size()));
+      fleet.cuts.insert(std::minmax(node, OtherNode(fleet, it.pick)));
       return;
     case Happening::kCutsEnd:
       fleet.cuts.clear();
@@ -156,12 +202,30 @@
   return text;
 }
 
-// Asks all live instances for the id; kActive when one of them cannot tell yet.
-auto AskAll(Story& story, const JobId& id) -> std::vector<uint64_t> {
+// Asks one node for what became of one submission.
+using Question = std::function<uint64_t(size_t node)>;
+
+auto QuestionsOf(Story& story) -> std::map<std::string, Question> {
+  std::map<std::string, Question> questions;
+  for (const auto& it : story.ids) {
+    questions[ToString(it)] = [&story, it](size_t node) {
+      return Fetch(story.fleet, node, it);
+    };
+  }
+  for (const auto& it : story.keyed) {
+    questions[it.key] = [&story, it](size_t node) {
+      return SubmitKeyed(story.fleet, node, it.key, it.submission);
+    };
+  }
+  return questions;
+}
+
+auto AskAll(const VirtualFleet& fleet, const Question& question)
+    -> std::vector<uint64_t> {
   std::vector<uint64_t> numbers;
-  for (size_t i = 0; i < story.fleet.nodes.size(); ++i) {
-    if (story.fleet.nodes[i].dispatcher != nullptr) {
-      numbers.push_back(Fetch(story.fleet, i, id));
+  for (size_t i = 0; i < fleet.nodes.size(); ++i) {
+    if (fleet.nodes[i].dispatcher != nullptr) {
+      numbers.push_back(question(i));
     }
   }
   return numbers;
@@ -173,26 +237,27 @@
 auto CheckSettled(Story& story) -> void {
   constexpr int kRounds = 8;
   constexpr int kRoundsWithinTerm = 6;
-  std::map<JobId, std::set<JobState>> told;
+  const auto questions = QuestionsOf(story);
+  std::map<std::string, std::set<JobState>> told;
   for (auto round = 0; round < kRounds; ++round) {
-    std::map<JobId, std::vector<uint64_t>> asked;
-    for (const auto& id : story.ids) {
-      if (round == 0 || told[id].contains(JobState::kActive)) {
-        asked[id] = AskAll(story, id);
+    std::map<std::string, std::vector<uint64_t>> asked;
+    for (const auto& [subject, question] : questions) {
+      if (round == 0 || told[subject].contains(JobState::kActive)) {
+        asked[subject] = AskAll(story.fleet, question);
       }
     }
     const auto wait = round < kRoundsWithinTerm ? seconds(6) : kIdTerm;
     Elapse(story.fleet, asked.empty() ? milliseconds(0) : wait);
-    for (const auto& [id, numbers] : asked) {
-      told[id].clear();
+    for (const auto& [subject, numbers] : asked) {
+      told[subject].clear();
       for (const auto number : numbers) {
-        told[id].insert(StateTold(story.fleet, number));
+        told[subject].insert(StateTold(story.fleet, number));
       }
     }
   }
-  for (const auto& [id, states] : told) {
+  for (const auto& [subject, states] : told) {
     if (states.contains(JobState::kActive) || states.size() != 1) {
-      story.fleet.violations.push_back("not settled alike: " + ToString(id) +
+      story.fleet.violations.push_back("not settled alike: " + subject +
                                        Shown(states));
     }
   }
@@ -210,14 +275,15 @@
 }
 
 auto Tell(uint64_t seed,
+          size_t zones,
           const FaultRates& rates,
           const std::vector<Moment>& moments) -> std::string {
-  const auto fleet = MakeFleet(3, seed);
+  const auto fleet = MakeFleet(2 + zones, seed, zones);
   Story story{.fleet = *fleet};
   fleet->rates = rates;
   fleet->restarts = true;
   for (const auto& it : moments) {
-    if (it.happening <= Happening::kCancel) {
+    if (it.happening < Happening::kKill) {
       HappenToJobs(story, it);
     } else {
       HappenToNodes(*fleet, it);
@@ -232,24 +298,30 @@
 
 RC_GTEST_PROP(Promises, HoldWhenInstancesFail, (uint64_t seed)) {
   const auto moments = *rc::gen::container<std::vector<Moment>>(AnyMoment());
-  RC_ASSERT(Tell(seed, {}, moments) == std::string());
+  RC_ASSERT(Tell(seed, 1, {}, moments) == std::string());
 }
 
+constexpr FaultRates kRates{.peer_lost = 5,
+                            .peer_repeated = 5,
+                            .peer_late = 10,
+                            .table_answer_lost = 10,
+                            .table_late = 5,
+                            .table_lost = 5,
+                            .stale_read = 20,
+                            .start_lost = 3,
+                            .start_late = 5,
+                            .answer_lost = 5,
+                            .answer_garbled = 3,
+                            .query_lost = 10};
+
 RC_GTEST_PROP(Promises, HoldWhenMessagesFailToo, (uint64_t seed)) {
   const auto moments = *rc::gen::container<std::vector<Moment>>(AnyMoment());
-  const FaultRates rates{.peer_lost = 5,
-                         .peer_repeated = 5,
-                         .peer_late = 10,
-                         .table_answer_lost = 10,
-                         .table_late = 5,
-                         .table_lost = 5,
-                         .stale_read = 20,
-                         .start_lost = 3,
-                         .start_late = 5,
-                         .answer_lost = 5,
-                         .answer_garbled = 3,
-                         .query_lost = 10};
-  RC_ASSERT(Tell(seed, rates, moments) == std::string());
+  RC_ASSERT(Tell(seed, 1, kRates, moments) == std::string());
+}
+
+RC_GTEST_PROP(Promises, HoldInTwoZones, (uint64_t seed)) {
+  const auto moments = *rc::gen::container<std::vector<Moment>>(AnyMoment());
+  RC_ASSERT(Tell(seed, 2, kRates, moments) == std::string());
 }
 
 }  // namespace
--- a/tests/servers/dispatcher/virtual_endpoint.h
+++ b/tests/servers/dispatcher/virtual_endpoint.h
@@ -17,6 +17,7 @@
 };
 
 struct VirtualEndpoint {
+  std::string zone;
   uint32_t slots = 2;
   bool draining = false;
   std::map<AttemptId, EndpointRun> runs;
--- a/tests/servers/dispatcher/virtual_fleet.cc
+++ b/tests/servers/dispatcher/virtual_fleet.cc
@@ -1,5 +1,6 @@
 #include "tests/servers/dispatcher/virtual_fleet.h"
 
+#include <array>
 #include <boost/log/core.hpp>
 
 #include "tests/servers/dispatcher/promise_checks.h"
@@ -11,7 +12,8 @@
 namespace {
 
 constexpr milliseconds kTick{20};
-constexpr size_t kEndpoints = 3;
+constexpr size_t kLeavingEndpoints = 2;
+constexpr std::array kZones = {"bilbao", "santander"};
 
 auto Take(VirtualFleet& fleet, size_t node, Outputs out) -> void {
   for (const auto& it : out.callers) {
@@ -32,11 +34,11 @@
 }
 
 auto NoteTrouble(VirtualFleet& fleet) -> void {
-  if (fleet.platform_down) {
-    fleet.platform_up_since = fleet.now.boot;
-    fleet.last_trouble = fleet.now.boot;
-  }
   for (auto& it : fleet.nodes) {
+    if (IsPlatformAway(fleet, it)) {
+      it.platform_up_since = fleet.now.boot;
+      fleet.last_trouble = fleet.now.boot;
+    }
     if (it.paused) {
       it.awake_since = fleet.now.boot;
       fleet.last_trouble = fleet.now.boot;
@@ -104,7 +106,14 @@
   Take(fleet, node, std::move(out));
 }
 
-auto MakeFleet(size_t nodes, uint64_t seed) -> std::unique_ptr<VirtualFleet> {
+auto IsPlatformAway(const VirtualFleet& fleet, const VirtualNode& node)
+    -> bool {
+  return fleet.platform_down ||
+         fleet.zones_without_platform.contains(node.settings.zone);
+}
+
+auto MakeFleet(size_t nodes, uint64_t seed, size_t zones)
+    -> std::unique_ptr<VirtualFleet> {
   boost::log::core::get()->set_logging_enabled(false);
   auto fleet = std::make_unique<VirtualFleet>();
   fleet->random.seed(seed);
@@ -115,12 +124,15 @@
   for (size_t i = 0; i < nodes; ++i) {
     auto& node = fleet->nodes.emplace_back();
     node.settings.instance = "entry-" + std::to_string(i);
-    node.settings.zone = "bilbao";
+    node.settings.zone = kZones[i % zones];
     node.settings.peer_address = seeds[i];
     node.settings.seed_peers = seeds;
   }
-  for (size_t i = 0; i < kEndpoints; ++i) {
-    fleet->endpoints[{.ip = "10.0.1.1", .port = static_cast<uint16_t>(1 + i)}];
+  fleet->lasting = zones;
+  for (size_t i = 0; i < kLeavingEndpoints + zones; ++i) {
+    const Address address{.ip = "10.0.1.1",
+                          .port = static_cast<uint16_t>(1 + i)};
+    fleet->endpoints[address].zone = kZones[i % zones];
   }
   WriteConfiguration(*fleet);
   for (size_t i = 0; i < nodes; ++i) {
@@ -163,6 +175,7 @@
 auto Heal(VirtualFleet& fleet) -> void {
   fleet.rates = {};
   fleet.platform_down = false;
+  fleet.zones_without_platform.clear();
   fleet.cuts.clear();
   for (size_t i = 0; i < fleet.nodes.size(); ++i) {
     fleet.nodes[i].paused = false;
--- a/tests/servers/dispatcher/virtual_fleet.h
+++ b/tests/servers/dispatcher/virtual_fleet.h
@@ -25,6 +25,7 @@
   std::unique_ptr<Dispatcher> dispatcher;  // null: dead
   bool paused = false;
   Instant awake_since;  // the last start or the end of the last pause
+  Instant platform_up_since;
   std::vector<std::function<void(Step&)>> inbox;  // while paused
   int64_t highest_version = 0;
 };
@@ -72,14 +73,15 @@
   FakeTable table;
   std::vector<TableRow> old_configurations;
   bool platform_down = false;
+  std::set<std::string> zones_without_platform;
   bool restarts = false;  // an instance that stopped as planned starts anew
   std::vector<VirtualNode> nodes;
   std::set<std::pair<size_t, size_t>> cuts;
   std::map<Address, VirtualEndpoint> endpoints;
+  size_t lasting = 1;                  // the last endpoints, which never leave
   std::map<Address, Instant> leaving;  // since when by the list
   // Since when an instance knows by the endpoint's own answer.
   std::map<std::pair<Incarnation, Address>, Instant> told_leaving;
-  Instant platform_up_since;
   Instant last_trouble;  // that may keep a record from becoming durable
   std::multimap<Instant, std::function<void()>> agenda;
   std::map<JobId, std::shared_ptr<const Submission>> submissions;
@@ -95,7 +97,9 @@
   uint64_t next_incarnation = 0x1000;
 };
 
-auto MakeFleet(size_t nodes, uint64_t seed) -> std::unique_ptr<VirtualFleet>;
+// With two availability zones, nodes and endpoints belong to each by turns.
+auto MakeFleet(size_t nodes, uint64_t seed, size_t zones = 1)
+    -> std::unique_ptr<VirtualFleet>;
 auto Boot(VirtualFleet& fleet, size_t node) -> void;
 auto Kill(VirtualFleet& fleet, size_t node) -> void;
 auto Drain(VirtualFleet& fleet, size_t node) -> void;
@@ -103,6 +107,8 @@
 // Ends all faults and runs on until everything can be settled.
 auto Heal(VirtualFleet& fleet) -> void;
 
+auto IsPlatformAway(const VirtualFleet& fleet, const VirtualNode& node) -> bool;
+
 // For the parts of the fleet.
 using Event = std::function<void(Step&)>;
 
--- a/tests/servers/dispatcher/virtual_platform.cc
+++ b/tests/servers/dispatcher/virtual_platform.cc
@@ -10,7 +10,8 @@
 
 constexpr auto kDocument = R"({
   "schema_version": 2, "deployment": "cartas",
-  "zones": [{"name": "bilbao", "region": "norte"}],
+  "zones": [{"name": "bilbao", "region": "norte"},
+            {"name": "santander", "region": "norte"}],
   "services": [{"name": "cartas", "task_timeout_ms": 4000, "lease_ms": 3000}],
   "classes": [{"name": "confirmations", "floor_percent": 30,
                "record_before_start": true, "record_before_answer": true},
@@ -29,7 +30,7 @@
   }
   for (const auto& it : fleet.endpoints) {
     list.workers.push_back({.name = "worker-" + std::to_string(it.first.port),
-                            .zone = "bilbao",
+                            .zone = it.second.zone,
                             .service = "cartas",
                             .address = it.first,
                             .slots = it.second.slots,
@@ -38,10 +39,11 @@
   return list;
 }
 
-auto Transact(VirtualFleet& fleet, const TableTransaction& transaction)
-    -> TableOutcome {
+auto Transact(VirtualFleet& fleet,
+              const TableTransaction& transaction,
+              bool away) -> TableOutcome {
   auto fate = Fate::kAnswered;
-  if (fleet.platform_down) {
+  if (away) {
     fate = Chance(fleet, 50) ? Fate::kRefused : Fate::kLost;
   } else if (Chance(fleet, fleet.rates.table_answer_lost)) {
     fate = Fate::kAnswerLost;
@@ -61,12 +63,14 @@
   return Send(fleet.table, transaction, fate);
 }
 
-auto Call(VirtualFleet& fleet, const PlatformCommand& command)
-    -> PlatformOutcome {
+auto Call(VirtualFleet& fleet,
+          const VirtualNode& node,
+          const PlatformCommand& command) -> PlatformOutcome {
+  const auto away = IsPlatformAway(fleet, node);
   PlatformOutcome outcome{.token = command.token};
   if (const auto* write = std::get_if<TableTransaction>(&command.call)) {
-    outcome.result = Transact(fleet, *write);
-  } else if (fleet.platform_down) {
+    outcome.result = Transact(fleet, *write, away);
+  } else if (away) {
     outcome.result = PlatformError::kUnavailable;
   } else if (const auto* read = std::get_if<ReadRow>(&command.call)) {
     const auto& old = fleet.old_configurations;
@@ -89,7 +93,7 @@
                    const PlatformCommand& command) -> void {
   const auto self = fleet.nodes[node].dispatcher->self;
   Later(fleet, milliseconds(2), [&fleet, node, self, command] {
-    const auto outcome = Call(fleet, command);
+    const auto outcome = Call(fleet, fleet.nodes[node], command);
     const auto* table = std::get_if<TableOutcome>(&outcome.result);
     const auto silent =
         table != nullptr && table->kind == TableOutcomeKind::kUnknown;
