--- a/tests/servers/dispatcher/faults_test.cc
+++ b/tests/servers/dispatcher/faults_test.cc
@@ -84,6 +84,19 @@
   EXPECT_EQ(StateTold(*fleet, asked), JobState::kDone);
 }
 
+TEST_F(ThreeInstances, RunAJobOnceForAllSubmissionsUnderOneKey) {
+  const auto job = MakeKeyedJob("key", 3);
+  std::vector<uint64_t> asked;
+  for (size_t i = 0; i < 6; ++i) {
+    asked.push_back(SubmitKeyed(*fleet, i % 3, "key", job));
+  }
+  Elapse(*fleet, seconds(5));
+  for (const auto it : asked) {
+    EXPECT_EQ(StateTold(*fleet, it), JobState::kDone);
+  }
+  EXPECT_EQ(TotalStarts(fleet->ids_of_keys.at("key"), 3), 3U);
+}
+
 struct AfterAPlannedStop : ThreeInstances {
   JobId ran;
   JobId unused;
@@ -292,6 +305,63 @@
   EXPECT_EQ(TotalStarts(id, 2), 0U);
 }
 
+TEST_F(ThreeInstances, AnInstanceThatHasNoRowYetIsNotGone) {
+  Elapse(*fleet, seconds(30));
+  fleet->cuts.insert({1, 2});
+  fleet->platform_down = true;
+  Kill(*fleet, 2);
+  Boot(*fleet, 2);
+  Elapse(*fleet, seconds(5));
+  const auto id = FetchId(*fleet, 2).value();
+  fleet->platform_down = false;
+  Submit(*fleet, 1, MakeJob(id, 2));
+  Elapse(*fleet, seconds(5));
+  const auto asked = Submit(*fleet, 2, MakeJob(id, 2));
+  Elapse(*fleet, seconds(5));
+  EXPECT_EQ(StateTold(*fleet, asked), JobState::kDone);
+}
+
+// A ledger that is being closed takes no more refusals.
+TEST_F(ThreeInstances, AStoppingInstanceRefusesNoExpiredIdForGood) {
+  const auto id = FetchId(*fleet, 2).value();
+  Elapse(*fleet, kIdTerm + seconds(1));
+  fleet->platform_down = true;
+  Drain(*fleet, 2);
+  Elapse(*fleet, seconds(5));
+  Submit(*fleet, 2, MakeJob(id, 1));
+  Elapse(*fleet, seconds(1));
+  fleet->platform_down = false;
+  Elapse(*fleet, seconds(8));
+  ASSERT_EQ(fleet->nodes[2].dispatcher, nullptr);
+  Kill(*fleet, 0);
+  Boot(*fleet, 0);
+  Elapse(*fleet, seconds(5));
+  const auto again = Fetch(*fleet, 1, id);
+  Elapse(*fleet, seconds(5));
+  EXPECT_NE(StateTold(*fleet, again), JobState::kActive);
+}
+
+TEST_F(ThreeInstances, ACopyOfARefusedRelayStartsNothing) {
+  const auto id = FetchId(*fleet, 2).value();
+  const auto relay =
+      [this,
+       request = RelayRequest{
+           .number = 7, .call = SubmitRequest{.submission = MakeJob(id, 1)}}] {
+        Deliver(*fleet, 2, {}, [this, request](Step& step) {
+          OnPeerMessage(step, {.from = fleet->nodes[0].dispatcher->self,
+                               .body = request});
+        });
+      };
+  for (auto& it : fleet->nodes[2].dispatcher->fleet.workers) {
+    it.allotted_slots = 0;
+  }
+  relay();
+  Elapse(*fleet, seconds(1));
+  relay();
+  Elapse(*fleet, seconds(1));
+  EXPECT_EQ(TotalStarts(id, 1), 0U);
+}
+
 struct OwnerDies : ThreeInstances, testing::WithParamInterface<int> {};
 
 TEST_P(OwnerDies, AtAnyMomentAndOthersTellWhatRan) {
@@ -315,6 +385,7 @@
 // The others take a node for gone: a replacement has its address.
 auto GiveUp(VirtualFleet& fleet, size_t node) -> void {
   const auto taken = fleet.nodes[node].dispatcher->self;
+  fleet.given_up.insert(taken);
   for (size_t i = 0; i < fleet.nodes.size(); ++i) {
     if (i != node) {
       fleet.nodes[i].dispatcher->membership.ended.push_back(
--- a/tests/servers/dispatcher/virtual_endpoint.h
+++ b/tests/servers/dispatcher/virtual_endpoint.h
@@ -17,12 +17,14 @@
 };
 
 struct VirtualEndpoint {
+  std::string zone;
   uint32_t slots = 2;
   bool draining = false;
   uint64_t incarnation = 1;
   bool named = true;  // false: knows nothing of incarnations
   std::map<AttemptId, EndpointRun> runs;
   std::map<TaskId, uint32_t> starts;
+  std::map<std::string, uint32_t> starts_by_payload;
 };
 
 // Settles what ended by `now`.
--- a/tests/servers/dispatcher/virtual_exchanges.cc
+++ b/tests/servers/dispatcher/virtual_exchanges.cc
@@ -27,8 +27,7 @@
                          .incarnation = IncarnationName(endpoint)};
   outcome.end = ArriveStart(endpoint, start, run_time, fleet.now.boot);
   if (outcome.end == ExchangeEnd::kDraining) {
-    fleet.known_leaving.emplace(std::pair(self, start.endpoint),
-                                fleet.now.boot);
+    fleet.told_leaving.emplace(std::pair(self, start.endpoint), fleet.now.boot);
   }
   if (outcome.end != ExchangeEnd::kRunning) {
     Answer(fleet, node, self, outcome, milliseconds(1));
@@ -61,7 +60,7 @@
 
 auto Do(VirtualFleet& fleet, size_t node, const StartAttempt& start) -> void {
   const auto self = fleet.nodes[node].dispatcher->self;
-  CheckLeaving(fleet, self, start);
+  CheckLeaving(fleet, fleet.nodes[node], start);
   const AttemptOutcome silent{.id = start.id, .end = ExchangeEnd::kSilent};
   if (Chance(fleet, fleet.rates.start_lost)) {
     Answer(fleet, node, self, silent, start.timeout);
--- a/tests/servers/dispatcher/virtual_fleet.cc
+++ b/tests/servers/dispatcher/virtual_fleet.cc
@@ -1,5 +1,6 @@
 #include "tests/servers/dispatcher/virtual_fleet.h"
 
+#include <array>
 #include <boost/log/core.hpp>
 
 #include "tests/servers/dispatcher/promise_checks.h"
@@ -11,7 +12,8 @@
 namespace {
 
 constexpr milliseconds kTick{20};
-constexpr size_t kEndpoints = 3;
+constexpr size_t kLeavingEndpoints = 2;
+constexpr std::array kZones = {"bilbao", "santander"};
 
 auto Take(VirtualFleet& fleet, size_t node, Outputs out) -> void {
   for (const auto& it : out.callers) {
@@ -22,6 +24,7 @@
   }
   for (const auto& it : out.peers) {
     if (const auto* send = std::get_if<SendToPeer>(&it)) {
+      CheckRelayed(fleet, *send);
       CarryToPeer(fleet, node, *send);
     }
   }
@@ -30,9 +33,23 @@
   }
 }
 
+auto NoteTrouble(VirtualFleet& fleet) -> void {
+  for (auto& it : fleet.nodes) {
+    if (IsPlatformAway(fleet, it)) {
+      it.platform_up_since = fleet.now.boot;
+      fleet.last_trouble = fleet.now.boot;
+    }
+    if (it.paused) {
+      it.awake_since = fleet.now.boot;
+      fleet.last_trouble = fleet.now.boot;
+    }
+  }
+}
+
 auto Tick(VirtualFleet& fleet) -> void {
   fleet.now.boot += kTick;
   fleet.now.wall += kTick;
+  NoteTrouble(fleet);
   while (!fleet.agenda.empty() &&
          fleet.agenda.begin()->first <= fleet.now.boot) {
     const auto what = std::move(fleet.agenda.begin()->second);
@@ -83,12 +100,20 @@
     return;
   }
   Outputs out;
+  fleet.speaker = it.dispatcher->self;
   Step step{*it.dispatcher, fleet.now, out};
   event(step);
   Take(fleet, node, std::move(out));
 }
 
-auto MakeFleet(size_t nodes, uint64_t seed) -> std::unique_ptr<VirtualFleet> {
+auto IsPlatformAway(const VirtualFleet& fleet, const VirtualNode& node)
+    -> bool {
+  return fleet.platform_down ||
+         fleet.zones_without_platform.contains(node.settings.zone);
+}
+
+auto MakeFleet(size_t nodes, uint64_t seed, size_t zones)
+    -> std::unique_ptr<VirtualFleet> {
   boost::log::core::get()->set_logging_enabled(false);
   auto fleet = std::make_unique<VirtualFleet>();
   fleet->random.seed(seed);
@@ -99,12 +124,15 @@
   for (size_t i = 0; i < nodes; ++i) {
     auto& node = fleet->nodes.emplace_back();
     node.settings.instance = "entry-" + std::to_string(i);
-    node.settings.zone = "bilbao";
+    node.settings.zone = kZones[i % zones];
     node.settings.peer_address = seeds[i];
     node.settings.seed_peers = seeds;
   }
-  for (size_t i = 0; i < kEndpoints; ++i) {
-    fleet->endpoints[{.ip = "10.0.1.1", .port = static_cast<uint16_t>(1 + i)}];
+  fleet->lasting = zones;
+  for (size_t i = 0; i < kLeavingEndpoints + zones; ++i) {
+    const Address address{.ip = "10.0.1.1",
+                          .port = static_cast<uint16_t>(1 + i)};
+    fleet->endpoints[address].zone = kZones[i % zones];
   }
   WriteConfiguration(*fleet);
   for (size_t i = 0; i < nodes; ++i) {
@@ -119,6 +147,8 @@
   it.paused = false;
   it.inbox.clear();
   it.highest_version = 0;
+  it.awake_since = fleet.now.boot;
+  fleet.last_trouble = fleet.now.boot;
   it.dispatcher =
       MakeDispatcher(it.settings, Incarnation{fleet.next_incarnation++},
                      fleet.random(), fleet.now);
@@ -127,7 +157,7 @@
 auto Kill(VirtualFleet& fleet, size_t node) -> void {
   auto& it = fleet.nodes[node];
   if (it.dispatcher != nullptr) {
-    fleet.unsafe.insert(it.dispatcher->self);
+    fleet.given_up.insert(it.dispatcher->self);
     it.dispatcher.reset();
   }
 }
@@ -145,6 +175,7 @@
 auto Heal(VirtualFleet& fleet) -> void {
   fleet.rates = {};
   fleet.platform_down = false;
+  fleet.zones_without_platform.clear();
   fleet.cuts.clear();
   for (size_t i = 0; i < fleet.nodes.size(); ++i) {
     fleet.nodes[i].paused = false;
--- a/tests/servers/dispatcher/virtual_peers.cc
+++ b/tests/servers/dispatcher/virtual_peers.cc
@@ -17,8 +17,12 @@
       const auto late = Chance(fleet, fleet.rates.peer_late);
       Later(fleet, milliseconds(1 + DrawBelow(fleet.random, late ? 3000 : 3)),
             [&fleet, to, message = send.message] {
-              Deliver(fleet, to, {},
-                      [message](Step& step) { OnPeerMessage(step, message); });
+              Deliver(fleet, to, {}, [&fleet, message](Step& step) {
+                if (std::holds_alternative<RelayReply>(message.body)) {
+                  fleet.speaker = message.from;
+                }
+                OnPeerMessage(step, message);
+              });
             });
     }
   }
--- a/tests/servers/dispatcher/virtual_platform.cc
+++ b/tests/servers/dispatcher/virtual_platform.cc
@@ -10,7 +10,8 @@
 
 constexpr auto kDocument = R"({
   "schema_version": 2, "deployment": "cartas",
-  "zones": [{"name": "bilbao", "region": "norte"}],
+  "zones": [{"name": "bilbao", "region": "norte"},
+            {"name": "santander", "region": "norte"}],
   "services": [{"name": "cartas", "task_timeout_ms": 4000, "lease_ms": 3000}],
   "classes": [{"name": "confirmations", "floor_percent": 30,
                "record_before_start": true, "record_before_answer": true},
@@ -30,7 +31,7 @@
   }
   for (const auto& it : fleet.endpoints) {
     list.workers.push_back({.name = "worker-" + std::to_string(it.first.port),
-                            .zone = "bilbao",
+                            .zone = it.second.zone,
                             .service = "cartas",
                             .address = it.first,
                             .slots = it.second.slots,
@@ -52,10 +53,11 @@
   return list;
 }
 
-auto Transact(VirtualFleet& fleet, const TableTransaction& transaction)
-    -> TableOutcome {
+auto Transact(VirtualFleet& fleet,
+              const TableTransaction& transaction,
+              bool away) -> TableOutcome {
   auto fate = Fate::kAnswered;
-  if (fleet.platform_down) {
+  if (away) {
     fate = Chance(fleet, 50) ? Fate::kRefused : Fate::kLost;
   } else if (Chance(fleet, fleet.rates.table_answer_lost)) {
     fate = Fate::kAnswerLost;
@@ -69,15 +71,20 @@
   } else if (Chance(fleet, fleet.rates.table_lost)) {
     fate = Fate::kLost;
   }
+  if (fate != Fate::kAnswered) {
+    fleet.last_trouble = fleet.now.boot;
+  }
   return Send(fleet.table, transaction, fate);
 }
 
-auto Call(VirtualFleet& fleet, const PlatformCommand& command)
-    -> PlatformOutcome {
+auto Call(VirtualFleet& fleet,
+          const VirtualNode& node,
+          const PlatformCommand& command) -> PlatformOutcome {
+  const auto away = IsPlatformAway(fleet, node);
   PlatformOutcome outcome{.token = command.token};
   if (const auto* write = std::get_if<TableTransaction>(&command.call)) {
-    outcome.result = Transact(fleet, *write);
-  } else if (fleet.platform_down) {
+    outcome.result = Transact(fleet, *write, away);
+  } else if (away) {
     outcome.result = PlatformError::kUnavailable;
   } else if (const auto* read = std::get_if<ReadRow>(&command.call)) {
     const auto& old = fleet.old_configurations;
@@ -93,18 +100,6 @@
   return outcome;
 }
 
-auto NoteList(VirtualFleet& fleet,
-              Incarnation self,
-              const PlatformOutcome& outcome) -> void {
-  const auto* list = std::get_if<InstanceList>(&outcome.result);
-  for (const auto& it :
-       list == nullptr ? std::vector<PlatformWorker>() : list->workers) {
-    if (it.leaving) {
-      fleet.known_leaving.emplace(std::pair(self, it.address), fleet.now.boot);
-    }
-  }
-}
-
 }  // namespace
 
 auto ServePlatform(VirtualFleet& fleet,
@@ -112,17 +107,15 @@
                    const PlatformCommand& command) -> void {
   const auto self = fleet.nodes[node].dispatcher->self;
   Later(fleet, milliseconds(2), [&fleet, node, self, command] {
-    const auto outcome = Call(fleet, command);
+    const auto outcome = Call(fleet, fleet.nodes[node], command);
     const auto* table = std::get_if<TableOutcome>(&outcome.result);
     const auto silent =
         table != nullptr && table->kind == TableOutcomeKind::kUnknown;
-    Later(fleet, milliseconds(silent ? 1000 : 3),
-          [&fleet, node, self, outcome] {
-            Deliver(fleet, node, self, [&fleet, outcome](Step& step) {
-              NoteList(fleet, step.dispatcher.self, outcome);
-              OnPlatformOutcome(step, outcome);
-            });
-          });
+    Later(
+        fleet, milliseconds(silent ? 1000 : 3), [&fleet, node, self, outcome] {
+          Deliver(fleet, node, self,
+                  [outcome](Step& step) { OnPlatformOutcome(step, outcome); });
+        });
   });
 }
 
--- a/tests/servers/membership/membership_test.cc
+++ b/tests/servers/membership/membership_test.cc
@@ -50,7 +50,8 @@
         .name = "santander-1",
         .address = peer_address,
         .started = WallTime(seconds(incarnation == kFirst ? 1 : 2))};
-    return IsGone(membership, incarnation, recorded, now);
+    return IsGone(membership, incarnation, recorded,
+                  Now{.boot = now, .wall = WallTime(seconds(100))});
   }
 };
 
