End a lookup among instances that named each other as successor

Cause: two instances of a zone that stop at the same time, each before it has heard that the other leaves, close their ledgers with each other as successor. A question about an unused id of one then went from ledger to ledger for ever: no caller got an answer, and each such id cost the platform two reads every few milliseconds.

Ruled out: an owner out of reach (every node served and had heard the others), lost platform calls (the lookups kept reading).

Change: a lookup remembers the closed ledgers that passed the id on; when the next one is among them, the id is refused as "draining", which is true: no ledger that may take it is open.

Before: APeerThatStopped.AtTheSameTimeAsItsSuccessorLeavesUnusedIdsToNobody failed.

--- a/servers/dispatcher/owner_routing.h
+++ b/servers/dispatcher/owner_routing.h
@@ -20,11 +20,11 @@
 auto LookUp(Step& step, CallerRequest request) -> void;
 
 // The same from the ledger of a given incarnation: the id's own, or a
-// successor, for which `unused` holds what the id's own closing row lists.
+// successor, for which `trail` says what was read before.
 auto LookUpIn(Step& step,
               Incarnation ledger,
               CallerRequest request,
-              std::shared_ptr<const UnusedIds> unused = nullptr) -> void;
+              LookupTrail trail = {}) -> void;
 
 // Sends a request to a peer and waits for its reply.
 auto RelayTo(Step& step, const PeerInstance& owner, CallerRequest request)
--- a/servers/dispatcher/record_lookup.cc
+++ b/servers/dispatcher/record_lookup.cc
@@ -93,16 +93,31 @@
         AnswerReply{.answer = ToCallerAnswer(id, partner, answer)});
 }
 
+auto Holds(const std::vector<Incarnation>& ledgers, Incarnation ledger)
+    -> bool {
+  return std::find(ledgers.begin(), ledgers.end(), ledger) != ledgers.end();
+}
+
 // The ids of an instance that stopped as planned belong to the successor that
 // it named.
 auto PassToSuccessor(Step& step, const JobId& id, Incarnation successor)
     -> void {
   auto& dispatcher = step.dispatcher;
-  auto unused = dispatcher.lookups.at(id).unused;
+  auto& open = dispatcher.lookups.at(id);
+  auto trail = std::move(open.trail);
+  trail.closed.push_back(open.ledger);
   auto waiting = TakeWaiting(step, id);
+  if (Holds(trail.closed, successor)) {
+    // Instances that stopped together named each other.
+    for (const auto& it : waiting) {
+      ReplyRefused(step, it.reply_to, Refusal::kDraining,
+                   "no instance is left that takes this id", {});
+    }
+    return;
+  }
   if (successor == dispatcher.self) {
     auto& adopted = dispatcher.adopted[id.incarnation];
-    adopted.unused = unused == nullptr ? adopted.unused : unused;
+    adopted.unused = trail.unused == nullptr ? adopted.unused : trail.unused;
     for (auto& it : waiting) {
       ServeOwnRequest(step, it);
     }
@@ -116,7 +131,7 @@
     } else {
       // The successor may be gone, too: then its own ledger says what became of
       // the id.
-      LookUpIn(step, successor, std::move(it), unused);
+      LookUpIn(step, successor, std::move(it), trail);
     }
   }
 }
@@ -242,7 +257,7 @@
     return;
   }
   if (open.ledger == id.incarnation && incarnation && incarnation->unused) {
-    open.unused =
+    open.trail.unused =
         std::make_shared<const UnusedIds>(*std::move(incarnation->unused));
   }
   open.lookup = BeginLookup(open.ledger, id, std::move(incarnation),
@@ -280,7 +295,7 @@
 auto LookUpIn(Step& step,
               Incarnation ledger,
               CallerRequest request,
-              std::shared_ptr<const UnusedIds> unused) -> void {
+              LookupTrail trail) -> void {
   auto& dispatcher = step.dispatcher;
   const auto id = IdOf(request.call);
   const auto found = dispatcher.lookups.find(id);
@@ -298,7 +313,7 @@
   open.id = id;
   open.ledger = ledger;
   open.started = step.now.boot;
-  open.unused = std::move(unused);
+  open.trail = std::move(trail);
   open.waiting.push_back(std::move(request));
   dispatcher.lookups.emplace(id, std::move(open));
   ReadIncarnation(step, id);
--- a/servers/dispatcher/state.h
+++ b/servers/dispatcher/state.h
@@ -144,13 +144,19 @@
   std::shared_ptr<const UnusedIds> unused;
 };
 
+// What a lookup has learned on its way from an id's ledger to its successors.
+struct LookupTrail {
+  // By the closing row of the incarnation that the id names, once read.
+  std::shared_ptr<const UnusedIds> unused;
+  std::vector<Incarnation> closed;  // ledgers that passed the id on
+};
+
 // Callers that wait for what the records say about an id.
 struct OpenLookup {
   JobId id;
   Incarnation ledger;
   Instant started;
-  // By the closing row of the incarnation that the id names, once read.
-  std::shared_ptr<const UnusedIds> unused;
+  LookupTrail trail;
   std::optional<Lookup> lookup;
   std::vector<CallerRequest> waiting;
 };
--- a/tests/servers/dispatcher/stopped_peer_test.cc
+++ b/tests/servers/dispatcher/stopped_peer_test.cc
@@ -77,6 +77,28 @@
   EXPECT_EQ(StateTold(*fleet, asked), JobState::kDone);
 }
 
+// Each names the other as successor: neither has heard that the other leaves.
+TEST_F(APeerThatStopped, AtTheSameTimeAsItsSuccessorLeavesUnusedIdsToNobody) {
+  const auto unused = FetchId(*fleet, 1).value();
+  Elapse(*fleet, seconds(3));
+  fleet->cuts.insert({0, 1});
+  for (size_t i = 0; i < 2; ++i) {
+    fleet->nodes[i].dispatcher->settings.balancer_grace = milliseconds(300);
+    Drain(*fleet, i);
+  }
+  ElapseUntilStopped(*fleet, 0);
+  ElapseUntilStopped(*fleet, 1);
+  fleet->cuts.clear();
+  Boot(*fleet, 0);
+  Boot(*fleet, 1);
+  Elapse(*fleet, seconds(3));
+  for (size_t i = 0; i < 2; ++i) {
+    const auto asked = Submit(*fleet, i, MakeJob(unused, 1));
+    Elapse(*fleet, seconds(2));
+    EXPECT_EQ(StateTold(*fleet, asked), JobState::kRefused);
+  }
+}
+
 struct APeerThatStops : APeerThatStopped {
   JobId unused = FetchId(*fleet, 1).value();
   JobId running = FetchId(*fleet, 1).value();
