--- a/servers/dispatcher/membership_flow.cc
+++ b/servers/dispatcher/membership_flow.cc
@@ -5,6 +5,7 @@
 #include "core/log/log.h"
 #include "servers/dispatcher/admitting.h"
 #include "servers/dispatcher/configuration_flow.h"
+#include "servers/dispatcher/owner_routing.h"
 #include "servers/dispatcher/quota_flow.h"
 #include "servers/dispatcher/record_flow.h"
 
@@ -12,6 +13,7 @@
 namespace {
 
 constexpr milliseconds kShareInterval{250};
+constexpr milliseconds kFreshList{5000};
 // Of the several hundred that the platform's table takes for everybody.
 constexpr uint32_t kTableWritesPerSecond = 300;
 
@@ -68,12 +70,44 @@
   dispatcher.next_share = step.now.boot;
 }
 
+// An unchanged list counts as one made now: what it lacks is still missing.
+auto ApplyUnchanged(Step& step) -> void {
+  auto& known = step.dispatcher.known_list;
+  if (!known) {
+    return;
+  }
+  if (known->as_of) {
+    *known->as_of += milliseconds(1);
+  }
+  ApplyList(step, *known);
+}
+
+auto OnListAnswer(Step& step, PlatformOutcome& outcome) -> void {
+  if (std::holds_alternative<ListUnchanged>(outcome.result)) {
+    ApplyUnchanged(step);
+    return;
+  }
+  auto* list = std::get_if<InstanceList>(&outcome.result);
+  if (list == nullptr) {
+    return;
+  }
+  ApplyList(step, *list);
+  auto& known = step.dispatcher.known_list;
+  known.reset();
+  if (!list->tag.empty()) {
+    std::erase_if(list->workers, [&](const PlatformWorker& it) {
+      return it.zone != step.dispatcher.settings.zone;
+    });
+    known = std::move(*list);
+  }
+}
+
 auto PollList(Step& step) -> void {
-  CallPlatform(step, ListInstances{}, [](Step& then, PlatformOutcome& outcome) {
-    if (const auto* list = std::get_if<InstanceList>(&outcome.result)) {
-      ApplyList(then, *list);
-    }
-  });
+  const auto& known = step.dispatcher.known_list;
+  ListInstances call;
+  call.workers_zone = step.dispatcher.settings.zone;
+  call.known_tag = known ? known->tag : std::string();
+  CallPlatform(step, std::move(call), OnListAnswer);
 }
 
 auto SlotsInUse(const ServiceState& service) -> uint32_t {
@@ -107,6 +141,7 @@
       static_cast<uint64_t>(VersionInForce(dispatcher.configuration));
   heartbeat.leaving =
       dispatcher.drain != DrainPhase::kServing || dispatcher.deposed;
+  heartbeat.stopped = dispatcher.drain == DrainPhase::kStopped;
   heartbeat.echo_incarnation = peer.incarnation;
   heartbeat.echo_sequence = peer.heard_sequence;
   if (peer.zone == dispatcher.settings.zone) {
@@ -115,6 +150,12 @@
   return heartbeat;
 }
 
+// A list that is not read any more drops nobody from the quotas.
+auto IsListFresh(const Membership& membership, Instant now) -> bool {
+  return membership.list_applied &&
+         now - *membership.list_applied <= kFreshList;
+}
+
 // Workers put aside here, named as every instance knows them.
 auto OwnVerdicts(const Dispatcher& dispatcher) -> std::vector<WorkerVerdict> {
   std::vector<WorkerVerdict> verdicts;
@@ -199,8 +240,7 @@
   auto& dispatcher = step.dispatcher;
   const auto instances =
       static_cast<uint32_t>(dispatcher.membership.peers.size()) + 1;
-  dispatcher.ledger.settings.spacing =
-      SpacingFor(instances, kTableWritesPerSecond);
+  SetPace(dispatcher.ledger, PaceFor(instances, kTableWritesPerSecond));
 }
 
 // Derives this instance's share of the zone's slots from what the instances
@@ -247,6 +287,7 @@
   if (step.now.boot >= dispatcher.next_share) {
     dispatcher.next_share = step.now.boot + kShareInterval;
     ShareFleet(step);
+    DropEndedMembers(step);
     ShareQuotas(step);
     ShareTableWrites(step);
     ResetSilentConnections(step);
@@ -254,10 +295,18 @@
   SendHeartbeats(step);
 }
 
+auto AnnounceStop(Step& step) -> void {
+  for (auto& it : step.dispatcher.membership.peers) {
+    it.next_heartbeat = step.now.boot;
+  }
+  SendHeartbeats(step);
+}
+
 auto OnHeartbeat(Step& step, Incarnation from, const Heartbeat& heartbeat)
     -> void {
   auto& dispatcher = step.dispatcher;
   ++dispatcher.counters.heartbeats_received;
+  const auto is_new = FindPeer(dispatcher.membership, from) == nullptr;
   const auto replaced =
       NoteHeartbeat(dispatcher.membership, from, heartbeat, step.now.boot);
   if (replaced) {
@@ -267,11 +316,17 @@
          {"new", ToString(from)}});
   }
   if (const auto* peer = FindPeer(dispatcher.membership, from)) {
+    if (is_new && IsListFresh(dispatcher.membership, step.now.boot)) {
+      UpdateQuotaRoster(step);
+    }
     NotePeerVersion(step, *peer, heartbeat.configuration_version);
     TakeQuotaReport(step, *peer, heartbeat);
     for (const auto& it : heartbeat.verdicts) {
       TakeVerdict(step, ToString(from), it);
     }
+    if (peer->stopped) {
+      AskRecordsInstead(step, from);
+    }
   }
 }
 
--- a/servers/dispatcher/quota_flow.h
+++ b/servers/dispatcher/quota_flow.h
@@ -9,9 +9,18 @@
 // Renews this instance's shares of the quotas; call several times a second.
 auto ShareQuotas(Step& step) -> void;
 
+// True when this instance has its part of the quotas, or when a member of its
+// zone has kept it from agreeing on one for so long that it should serve on
+// what others lend it.
+auto MayServeQuotas(const Dispatcher& dispatcher, Instant now) -> bool;
+
 // What the platform's list says about the instances of the zone.
 auto UpdateQuotaRoster(Step& step) -> void;
 
+// Drops members of the roster that have ended; call several times a second, so
+// that it also happens while the platform is away.
+auto DropEndedMembers(Step& step) -> void;
+
 // The reports for the zone's instances, one each; notes the leases that they
 // grant.
 auto MakeQuotaReports(Step& step) -> std::vector<AddressedReport>;
--- a/servers/dispatcher/record_flow.cc
+++ b/servers/dispatcher/record_flow.cc
@@ -1,6 +1,7 @@
 #include "servers/dispatcher/record_flow.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "core/log/log.h"
@@ -10,6 +11,24 @@
 namespace boragecroft {
 namespace {
 
+// The most urgent class comes first in the configuration. Records of the others
+// leave it the writes that it may need.
+auto UrgencyOf(const Job& job) -> Urgency {
+  return job.class_index == 0 ? Urgency::kUrgent : Urgency::kPrompt;
+}
+
+// A record that holds the whole answer can stand for the one in memory.
+auto NoteReplaceable(Step& step, const LedgerEvents& events) -> void {
+  auto& dispatcher = step.dispatcher;
+  const std::set<JobId> bare(events.without_results.begin(),
+                             events.without_results.end());
+  for (const auto& it : events.finals) {
+    if (!bare.contains(it) && dispatcher.jobs.contains(it)) {
+      dispatcher.replaceable.push_back(it);
+    }
+  }
+}
+
 auto Apply(Step& step, const LedgerEvents& events) -> void {
   auto& dispatcher = step.dispatcher;
   if (events.opened) {
@@ -24,6 +43,7 @@
   for (const auto& it : events.finals) {
     NoteFinalDurable(step, it);
   }
+  NoteReplaceable(step, events);
   for (const auto& it : events.watermarks) {
     RaiseDispatchLimit(step, it.job, it.started_below);
   }
@@ -107,8 +127,7 @@
   entry.accepted = step.now.wall;
   entry.digest = job.digest;
   const auto watermark = entry.started_below;
-  const auto verdict =
-      Add(dispatcher.ledger, entry, Urgency::kUrgent, step.now);
+  const auto verdict = Add(dispatcher.ledger, entry, UrgencyOf(job), step.now);
   if (verdict == AddVerdict::kAdded || verdict == AddVerdict::kOverBound) {
     job.record_mode = RecordMode::kWatermark;
     job.watermark_asked = watermark;
@@ -126,7 +145,7 @@
   WatermarkEntry entry;
   entry.job = job.submission->id;
   entry.started_below = job.watermark_asked;
-  Add(step.dispatcher.ledger, entry, Urgency::kUrgent, step.now);
+  Add(step.dispatcher.ledger, entry, UrgencyOf(job), step.now);
 }
 
 auto RecordFinal(Step& step, const Job& job) -> void {
@@ -146,10 +165,10 @@
   entry.digest = job.digest;
   const auto* declared =
       FindClass(*InForce(step.dispatcher), job.submission->urgency_class);
-  const auto urgent = declared != nullptr && declared->record_before_answer;
+  const auto awaited = declared != nullptr && declared->record_before_answer;
   const auto verdict =
       Add(step.dispatcher.ledger, entry,
-          urgent ? Urgency::kUrgent : Urgency::kNormal, step.now);
+          awaited ? UrgencyOf(job) : Urgency::kNormal, step.now);
   if (verdict == AddVerdict::kEnded) {
     Log(LogLevel::kError, "final_record_lost",
         {{"job", ToString(job.submission->id)}});
--- a/servers/dispatcher/state_dump.cc
+++ b/servers/dispatcher/state_dump.cc
@@ -67,6 +67,18 @@
   return it;
 }
 
+auto PeerStateName(const Membership& membership,
+                   const PeerInstance& peer,
+                   Instant now) -> std::string_view {
+  if (peer.stopped) {
+    return "stopped";
+  }
+  if (peer.leaving) {
+    return "leaving";
+  }
+  return IsReachable(membership, peer, now) ? "reachable" : "silent";
+}
+
 auto PeerOf(const Membership& membership,
             const PeerInstance& peer,
             const Now& now) -> json::object {
@@ -75,9 +87,7 @@
   it["zone"] = peer.zone;
   it["address"] = ToString(peer.address);
   it["incarnation"] = ToString(peer.incarnation);
-  it["state"] = peer.leaving                              ? "leaving"
-                : IsReachable(membership, peer, now.boot) ? "reachable"
-                                                          : "silent";
+  it["state"] = PeerStateName(membership, peer, now.boot);
   it["configuration_version"] = peer.configuration_version;
   it["last_heard_ms"] = peer.last_heard ? Age(*peer.last_heard, now.boot) : -1;
   return it;
@@ -107,6 +117,10 @@
   it["write_in_flight"] = ledger.flight.has_value();
   it["platform_suspect"] = IsPlatformSuspect(ledger, now);
   it["dropped_results"] = ledger.dropped_results;
+  it["segments"] = ledger.times.segments;
+  it["writing_us"] = ledger.times.writing.count();
+  it["urgent_entries"] = ledger.times.urgent_entries;
+  it["urgent_waiting_us"] = ledger.times.urgent_waiting.count();
   return it;
 }
 
@@ -123,6 +137,7 @@
 auto SizesOf(const Dispatcher& dispatcher) -> json::object {
   json::object sizes;
   sizes["jobs"] = dispatcher.jobs.size();
+  sizes["kept_answer_bytes"] = dispatcher.kept_answer_bytes;
   sizes["active_jobs"] = dispatcher.active_jobs;
   sizes["tasks_in_progress"] = dispatcher.in_progress.size();
   sizes["delayed_tasks"] = dispatcher.delayed.size();
--- a/servers/dispatcher/submitting.cc
+++ b/servers/dispatcher/submitting.cc
@@ -16,15 +16,28 @@
 namespace boragecroft {
 namespace {
 
-// Why this instance takes no submission at the moment, if so.
-auto FindObstacle(const Step& step) -> std::optional<RefusalReply> {
+// Until the ledger is closed no other instance can serve this one's unused ids.
+// So a stopping instance takes submissions while enough of its time is left to
+// finish them.
+auto IsTooLateToSubmit(const Step& step) -> bool {
+  const auto& dispatcher = step.dispatcher;
+  if (dispatcher.drain != DrainPhase::kFinishing) {
+    return dispatcher.drain > DrainPhase::kFinishing;
+  }
+  return step.now.boot - dispatcher.drain_started >
+         dispatcher.settings.drain_timeout / 2;
+}
+
+// Why this instance mints no id and takes no submission at the moment, if so.
+auto FindObstacle(const Step& step, bool stopping)
+    -> std::optional<RefusalReply> {
   const auto& dispatcher = step.dispatcher;
   if (!ReadyToServe(dispatcher.configuration, step.now)) {
     return RefusalReply{.refusal = Refusal::kNotReady,
                         .reason = "the configuration in force is not known yet",
                         .retry_after = kRefusalRetry};
   }
-  if (dispatcher.deposed || dispatcher.drain >= DrainPhase::kFinishing) {
+  if (dispatcher.deposed || stopping) {
     return RefusalReply{.refusal = Refusal::kDraining,
                         .reason = "this instance is stopping",
                         .retry_after = kRefusalRetry};
@@ -62,7 +75,8 @@
 auto OnMint(Step& step, const ReplyTo& reply_to, const MintRequest& mint)
     -> void {
   auto& dispatcher = step.dispatcher;
-  if (const auto obstacle = FindObstacle(step)) {
+  const auto stopping = dispatcher.drain >= DrainPhase::kFinishing;
+  if (const auto obstacle = FindObstacle(step, stopping)) {
     ReplyObstacle(step, reply_to, *obstacle);
     return;
   }
@@ -91,7 +105,13 @@
 auto TakeSubmission(Step& step,
                     const ReplyTo& reply_to,
                     const SubmitRequest& submit) -> void {
-  if (const auto obstacle = FindObstacle(step)) {
+  const auto flushing = step.dispatcher.drain >= DrainPhase::kFlushing;
+  if (flushing && !reply_to.IsLocal()) {
+    // The peer asks the records, which name the successor, once it hears that
+    // this instance has stopped.
+    return;
+  }
+  if (const auto obstacle = FindObstacle(step, IsTooLateToSubmit(step))) {
     ReplyObstacle(step, reply_to, *obstacle);
     return;
   }
@@ -108,7 +128,7 @@
   const auto verdict = AdmitSubmission(step, submission);
   if (verdict.refusal) {
     RecordRefusal(step, submission.partner, submission.id, *verdict.refusal);
-    RememberRefusal(step, submission, *verdict.refusal);
+    RememberRefusal(step, submission.id, submission.partner, *verdict.refusal);
     ReplyRefused(step, reply_to, *verdict.refusal, verdict.reason,
                  verdict.retry_after);
     return;
@@ -139,9 +159,28 @@
                                                      : IdVerdict::kFresh;
 }
 
+// Recorded, so that others say the same once this instance has gone. An adopted
+// id is used up as well: its age is judged by clocks that may step.
+auto RefuseExpired(Step& step, const CallerRequest& request) -> void {
+  const auto id = IdOf(request.call);
+  const auto& partner = PartnerOf(request.call);
+  if (id.incarnation != step.dispatcher.self) {
+    TakeId(step, id);
+  }
+  RecordRefusal(step, partner, id, Refusal::kIdExpired);
+  RememberRefusal(step, id, partner, Refusal::kIdExpired);
+  const auto refusal = RefusalFor(IdVerdict::kExpired);
+  ReplyRefused(step, request.reply_to, refusal.refusal, refusal.reason, {});
+}
+
 // Requests about an id that is not in memory.
 auto ServeAbsent(Step& step, const CallerRequest& request) -> void {
   const auto id = IdOf(request.call);
+  if (step.dispatcher.deposed) {
+    // Others answer from the closed records, whatever is known here.
+    LookUpIn(step, step.dispatcher.self, request);
+    return;
+  }
   const auto verdict =
       VerdictOf(step.dispatcher, id, PartnerOf(request.call), step.now);
   switch (verdict) {
@@ -158,6 +197,9 @@
     case IdVerdict::kBelowRetained:
       LookUp(step, request);
       return;
+    case IdVerdict::kExpired:
+      RefuseExpired(step, request);
+      return;
     default: {
       const auto refusal = RefusalFor(verdict);
       ReplyRefused(step, request.reply_to, refusal.refusal, refusal.reason, {});
--- a/servers/membership/membership.cc
+++ b/servers/membership/membership.cc
@@ -5,7 +5,7 @@
 namespace boragecroft {
 namespace {
 
-constexpr size_t kMaxReplaced = 4096;
+constexpr size_t kMaxEnded = 4096;
 constexpr size_t kMaxUnechoed = 32;
 
 auto FindByAddress(Membership& membership, const Address& address)
@@ -26,13 +26,25 @@
   return peer;
 }
 
-auto IsReplaced(const Membership& membership, Incarnation incarnation) -> bool {
-  return std::any_of(membership.replaced.begin(), membership.replaced.end(),
-                     [&](const ReplacedIncarnation& it) {
+auto HasEnded(const Membership& membership, Incarnation incarnation) -> bool {
+  return std::any_of(membership.ended.begin(), membership.ended.end(),
+                     [&](const EndedIncarnation& it) {
                        return it.incarnation == incarnation;
                      });
 }
 
+auto NoteEnd(Membership& membership, Incarnation incarnation, Instant now)
+    -> void {
+  if (HasEnded(membership, incarnation)) {
+    return;
+  }
+  if (membership.ended.size() >= kMaxEnded) {
+    membership.ended.erase(membership.ended.begin());
+  }
+  membership.ended.push_back(
+      EndedIncarnation{.incarnation = incarnation, .since = now});
+}
+
 auto Replace(Membership& membership,
              PeerInstance& peer,
              Incarnation incarnation,
@@ -47,11 +59,7 @@
   if (old.value == 0) {
     return std::nullopt;
   }
-  if (membership.replaced.size() >= kMaxReplaced) {
-    membership.replaced.erase(membership.replaced.begin());
-  }
-  membership.replaced.push_back(
-      ReplacedIncarnation{.incarnation = old, .since = now});
+  NoteEnd(membership, old, now);
   return old;
 }
 
@@ -122,7 +130,7 @@
                    const Heartbeat& heartbeat,
                    Instant now) -> std::optional<Incarnation> {
   if (from == membership.self || heartbeat.address == membership.address ||
-      IsReplaced(membership, from)) {
+      HasEnded(membership, from)) {
     return std::nullopt;
   }
   auto* known = FindByAddress(membership, heartbeat.address);
@@ -136,6 +144,8 @@
     }
     peer.started = heartbeat.started;
     replaced = Replace(membership, peer, from, now);
+    // It knows nothing of this instance yet, and may be asked about its ids.
+    peer.next_heartbeat = now;
   } else if (heartbeat.sequence <= peer.heard_sequence) {
     return std::nullopt;
   }
@@ -144,6 +154,10 @@
   peer.last_heard = now;
   peer.heard_sequence = heartbeat.sequence;
   peer.leaving = heartbeat.leaving;
+  peer.stopped = heartbeat.stopped;
+  if (peer.stopped) {
+    NoteEnd(membership, from, now);
+  }
   peer.configuration_version = heartbeat.configuration_version;
   peer.service_demands = heartbeat.service_demands;
   peer.team_demands = heartbeat.team_demands;
@@ -187,7 +201,7 @@
     const auto limit =
         settings.silent_after +
         (local ? milliseconds(0) : settings.remote_heartbeat_interval * 2);
-    if (now - peer.echo_progress > limit) {
+    if (!peer.stopped && now - peer.echo_progress > limit) {
       peer.echo_progress = now;
       silent.push_back(i);
     }
@@ -207,7 +221,7 @@
 auto IsReachable(const Membership& membership,
                  const PeerInstance& peer,
                  Instant now) -> bool {
-  if (!peer.last_heard) {
+  if (!peer.last_heard || peer.stopped) {
     return false;
   }
   const auto& settings = membership.settings;
@@ -232,13 +246,13 @@
 
 auto IsGone(const Membership& membership,
             Incarnation incarnation,
-            const std::string& instance,
-            const Address& address,
+            const RecordedInstance& recorded,
             Instant now) -> bool {
-  if (IsReplaced(membership, incarnation)) {
+  const auto& [name, address, started] = recorded;
+  if (HasEnded(membership, incarnation)) {
     return true;
   }
-  if (instance == membership.name || address == membership.address) {
+  if (name == membership.name || address == membership.address) {
     return incarnation != membership.self;
   }
   const auto limit = membership.settings.dead_after;
@@ -246,11 +260,12 @@
       membership.list_applied && now - *membership.list_applied < limit;
   const auto watched_long_enough = now - membership.started > limit;
   for (const auto& it : membership.peers) {
-    if (it.address != address && (instance.empty() || it.name != instance)) {
+    if (it.incarnation != incarnation && it.address != address &&
+        (name.empty() || it.name != name)) {
       continue;
     }
     const auto heard = it.last_heard && now - *it.last_heard < limit;
-    if (heard && it.incarnation.value != 0 && it.incarnation != incarnation) {
+    if (heard && it.incarnation != incarnation && it.started > started) {
       return true;
     }
     const auto listed = now - it.last_listed < limit;
--- a/tests/servers/dispatcher/faults_test.cc
+++ b/tests/servers/dispatcher/faults_test.cc
@@ -1,7 +1,8 @@
 // One fault after the other, each told as a story.
 #include <gtest/gtest.h>
 
-#include "tests/servers/dispatcher/virtual_fleet.h"
+#include "tests/servers/dispatcher/promise_checks.h"
+#include "tests/servers/dispatcher/virtual_callers.h"
 
 namespace boragecroft {
 namespace {
@@ -158,6 +159,81 @@
   EXPECT_EQ(answer->answer->state, JobState::kDone);
 }
 
+struct AStopInAnOutage : ThreeInstances {
+  JobId ran;
+
+  auto SetUp() -> void override {
+    ran = FetchId(*fleet, 2).value();
+    fleet->platform_down = true;
+    const auto asked = Submit(*fleet, 2, MakeJob(ran, 2, "reminders"));
+    Elapse(*fleet, seconds(3));
+    ASSERT_EQ(StateTold(*fleet, asked), JobState::kDone);
+    Drain(*fleet, 2);
+    Elapse(*fleet, seconds(60));
+  }
+};
+
+TEST_F(AStopInAnOutage, OthersAnswerWhatTheStoppedInstanceAnswered) {
+  fleet->platform_down = false;
+  Elapse(*fleet, seconds(8));
+  ASSERT_EQ(fleet->nodes[2].dispatcher, nullptr);
+  Boot(*fleet, 2);
+  Elapse(*fleet, seconds(5));
+  const auto again = Fetch(*fleet, 0, ran);
+  Elapse(*fleet, seconds(5));
+  EXPECT_EQ(StateTold(*fleet, again), JobState::kDone);
+}
+
+TEST_F(AStopInAnOutage, ItAnswersForItsIdsUntilItsRecordsAreWritten) {
+  const auto again = Fetch(*fleet, 0, ran);
+  Elapse(*fleet, seconds(1));
+  EXPECT_EQ(StateTold(*fleet, again), JobState::kDone);
+}
+
+TEST_F(ThreeInstances, AnInstanceThatGaveNoIdStopsInAnOutage) {
+  fleet->platform_down = true;
+  Drain(*fleet, 2);
+  Elapse(*fleet, seconds(40));
+  EXPECT_EQ(fleet->nodes[2].dispatcher, nullptr);
+}
+
+// The owner refuses an id that outlived its term, then stops, and the id is
+// submitted to its successor, whose clock may differ.
+struct AnIdThatItsOwnerCalledExpired : ThreeInstances {
+  JobId id;
+
+  auto SetUp() -> void override {
+    id = FetchId(*fleet, 2).value();
+    Elapse(*fleet, kIdTerm + milliseconds(100));
+    const auto refused = Submit(*fleet, 2, MakeJob(id, 2));
+    Drain(*fleet, 2);
+    Elapse(*fleet, seconds(8));
+    ASSERT_EQ(StateTold(*fleet, refused), JobState::kRefused);
+    ASSERT_EQ(fleet->nodes[2].dispatcher, nullptr);
+  }
+
+  auto SubmitToOthers() -> void {
+    const auto here = Submit(*fleet, 0, MakeJob(id, 2));
+    const auto there = Submit(*fleet, 1, MakeJob(id, 2));
+    Elapse(*fleet, seconds(5));
+    EXPECT_EQ(StateTold(*fleet, here), JobState::kRefused);
+    EXPECT_EQ(StateTold(*fleet, there), JobState::kRefused);
+    EXPECT_EQ(TotalStarts(id, 2), 0U);
+  }
+};
+
+TEST_F(AnIdThatItsOwnerCalledExpired, StaysSoWhenTheClockStepsBack) {
+  fleet->now.wall -= seconds(20);
+  SubmitToOthers();
+}
+
+TEST_F(AnIdThatItsOwnerCalledExpired, StaysSoOnASuccessorWhoseClockIsBehind) {
+  for (size_t i = 0; i < 2; ++i) {
+    fleet->nodes[i].dispatcher->mint.started.wall -= seconds(10);
+  }
+  SubmitToOthers();
+}
+
 TEST_F(ThreeInstances, ARefusalHoldsAfterTheOwnersDeath) {
   const auto id = FetchId(*fleet, 2).value();
   auto job = MakeJob(id, 1);
@@ -187,6 +263,35 @@
   EXPECT_EQ(TotalStarts(id, 2), 0U);
 }
 
+TEST_F(ThreeInstances, AnExpiredIdStaysRefusedAfterTheOwnersDeath) {
+  const auto id = FetchId(*fleet, 2).value();
+  Elapse(*fleet, kIdTerm + seconds(1));
+  const auto refused = Submit(*fleet, 2, MakeJob(id, 1));
+  Elapse(*fleet, seconds(2));
+  EXPECT_EQ(StateTold(*fleet, refused), JobState::kRefused);
+  Kill(*fleet, 2);
+  Boot(*fleet, 2);
+  Elapse(*fleet, seconds(5));
+  const auto again = Fetch(*fleet, 0, id);
+  Elapse(*fleet, seconds(5));
+  EXPECT_EQ(StateTold(*fleet, again), JobState::kRefused);
+}
+
+// Instance 1 still takes the address for that of the older process.
+TEST_F(ThreeInstances, ANewIncarnationIsNotGoneWhereItIsNotHeard) {
+  Elapse(*fleet, seconds(30));
+  fleet->cuts.insert({1, 2});
+  Kill(*fleet, 2);
+  Boot(*fleet, 2);
+  Elapse(*fleet, seconds(5));
+  const auto id = FetchId(*fleet, 2).value();
+  Submit(*fleet, 1, MakeJob(id, 2));
+  Elapse(*fleet, seconds(5));
+  const auto asked = Submit(*fleet, 2, MakeJob(id, 2));
+  Elapse(*fleet, seconds(5));
+  EXPECT_EQ(StateTold(*fleet, asked), JobState::kDone);
+}
+
 struct OwnerDies : ThreeInstances, testing::WithParamInterface<int> {};
 
 TEST_P(OwnerDies, AtAnyMomentAndOthersTellWhatRan) {
@@ -207,18 +312,24 @@
                          OwnerDies,
                          testing::Values(0, 20, 40, 100, 400, 1000, 6000));
 
+// The others take a node for gone: a replacement has its address.
+auto GiveUp(VirtualFleet& fleet, size_t node) -> void {
+  const auto taken = fleet.nodes[node].dispatcher->self;
+  for (size_t i = 0; i < fleet.nodes.size(); ++i) {
+    if (i != node) {
+      fleet.nodes[i].dispatcher->membership.ended.push_back(
+          {.incarnation = taken, .since = fleet.now.boot});
+    }
+  }
+}
+
 TEST_F(ThreeInstances, AnOwnerThatWakesDeposedTellsWhatTheRecordsSay) {
   const auto id = FetchId(*fleet, 2).value();
   fleet->run_time = milliseconds(1000);
   const auto asked = Submit(*fleet, 2, MakeJob(id, 2));
   Elapse(*fleet, milliseconds(600));
   fleet->nodes[2].paused = true;
-  // The others take it for gone: a replacement has its address.
-  const auto taken = fleet->nodes[2].dispatcher->self;
-  for (size_t i = 0; i < 2; ++i) {
-    fleet->nodes[i].dispatcher->membership.replaced.push_back(
-        {.incarnation = taken, .since = fleet->now.boot});
-  }
+  GiveUp(*fleet, 2);
   Elapse(*fleet, seconds(4));
   const auto here = Submit(*fleet, 0, MakeJob(id, 2));
   Elapse(*fleet, seconds(4));
@@ -228,5 +339,27 @@
   EXPECT_EQ(StateTold(*fleet, asked), JobState::kFailed);
 }
 
+TEST_F(ThreeInstances, ADeposedOwnerRefusesNothingThatTheRecordsCallFailed) {
+  const auto id = FetchId(*fleet, 2).value();
+  const auto other = FetchId(*fleet, 2).value();
+  Elapse(*fleet, seconds(1));
+  fleet->nodes[2].paused = true;
+  GiveUp(*fleet, 2);
+  Elapse(*fleet, seconds(4));
+  const auto here = Submit(*fleet, 0, MakeJob(id, 2));
+  Elapse(*fleet, seconds(4));
+  ASSERT_EQ(StateTold(*fleet, here), JobState::kFailed);
+  fleet->nodes[2].paused = false;
+  Elapse(*fleet, seconds(1));
+  Submit(*fleet, 2, MakeJob(other, 1));
+  for (auto i = 0; i < 300 && !fleet->nodes[2].dispatcher->deposed; ++i) {
+    Elapse(*fleet, milliseconds(10));
+  }
+  ASSERT_TRUE(fleet->nodes[2].dispatcher->deposed);
+  const auto there = Submit(*fleet, 2, MakeJob(id, 2));
+  Elapse(*fleet, seconds(1));
+  EXPECT_EQ(StateTold(*fleet, there), JobState::kFailed);
+}
+
 }  // namespace
 }  // namespace boragecroft
--- a/tests/standins/endpoint/main.cc
+++ b/tests/standins/endpoint/main.cc
@@ -3,7 +3,8 @@
 // JSON array, then "control PORT", then "ready". On the control port: POST
 // /control {"worker": INDEX or -1, "mode": MODE, "slowdown": N, "late_ms": N,
 // "restart": true};
-// GET /starts: {"tasks": [{"task", "starts", "state"}]}; GET /counters.
+// GET /starts: {"tasks": [{"task", "starts", "first_start_us", "state"}]}, by
+// the boot-time clock; GET /counters.
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -80,9 +81,11 @@
 auto Starts(const Zone& zone) -> json::object {
   json::array tasks;
   const auto add = [&](const auto& it) {
-    tasks.push_back({{"task", it.first},
-                     {"starts", it.second.starts},
-                     {"state", it.second.state}});
+    tasks.push_back(
+        {{"task", it.first},
+         {"starts", it.second.starts},
+         {"first_start_us", it.second.first_start.time_since_epoch().count()},
+         {"state", it.second.state}});
   };
   for (const auto& worker : zone.workers) {
     std::ranges::for_each(worker->attempts, add);
