Call nothing "not run" that a crowded instance has not read

Cause: an instance with 4096 connections answered every further one with a refusal, `not_run` true, "the id stays unused", before it had read a byte of it. A resubmission of a job that runs or ran was so told that nothing of it ran. ApiPageAnswerTest.ACrowdedInstanceLeavesItUndecided failed first (503 `refused`). The responses to HTTP faults moved to the codec, where a test reaches them.

--- a/peers/caller/caller_codec.cc
+++ b/peers/caller/caller_codec.cc
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr int64_t kMaxIdsPerRequest = 1000;
+constexpr milliseconds kRetryAfter{200};
 
 struct CodeName {
   std::string_view name;
@@ -245,4 +246,31 @@
                  RefusedBody(code.name, error.field, error.reason));
 }
 
+auto ToHttp(HttpFault fault) -> HttpResponse {
+  switch (fault) {
+    case HttpFault::kMalformed:
+      return ToHttp(ApiError{.code = ApiErrorCode::kMalformedHttp,
+                             .field = "",
+                             .reason = "this is not HTTP/1.1"});
+    case HttpFault::kHeadTooLarge:
+      return ToHttp(ApiError{.code = ApiErrorCode::kHeadTooLarge,
+                             .field = "",
+                             .reason = "the header is too long"});
+    case HttpFault::kBodyTooLarge:
+      return ToHttp(ApiError{.code = ApiErrorCode::kBodyTooLarge,
+                             .field = "",
+                             .reason = "the body is too long"});
+    case HttpFault::kTooSlow:
+      return ToHttp(ApiError{.code = ApiErrorCode::kTooSlow,
+                             .field = "",
+                             .reason = "the request took too long"});
+    case HttpFault::kTooManyConnections:
+      break;
+  }
+  // Nothing was read: a job under the id of this request may have run.
+  return ToHttp(UndecidedReply{.reason = "too many connections",
+                               .retry_after = kRetryAfter},
+                kNewestRecordVersion);
+}
+
 }  // namespace boragecroft
--- a/peers/caller/caller_codec.h
+++ b/peers/caller/caller_codec.h
@@ -6,6 +6,7 @@
 
 #include "core/base/result.h"
 #include "core/http/http_message.h"
+#include "core/http/http_server.h"
 #include "peers/caller/api_error.h"
 #include "servers/dispatcher/caller_messages.h"
 
@@ -22,6 +23,7 @@
 // The reply in the shape of `schema_version`.
 auto ToHttp(const CallerReplyBody& body, int schema_version) -> HttpResponse;
 auto ToHttp(const ApiError& error) -> HttpResponse;
+auto ToHttp(HttpFault fault) -> HttpResponse;
 
 }  // namespace boragecroft
 
--- a/peers/caller/caller_server.cc
+++ b/peers/caller/caller_server.cc
@@ -27,33 +27,6 @@
              : kNewestRecordVersion;
 }
 
-auto FaultResponse(HttpFault fault) -> HttpResponse {
-  switch (fault) {
-    case HttpFault::kMalformed:
-      return ToHttp(ApiError{.code = ApiErrorCode::kMalformedHttp,
-                             .field = "",
-                             .reason = "this is not HTTP/1.1"});
-    case HttpFault::kHeadTooLarge:
-      return ToHttp(ApiError{.code = ApiErrorCode::kHeadTooLarge,
-                             .field = "",
-                             .reason = "the header is too long"});
-    case HttpFault::kBodyTooLarge:
-      return ToHttp(ApiError{.code = ApiErrorCode::kBodyTooLarge,
-                             .field = "",
-                             .reason = "the body is too long"});
-    case HttpFault::kTooSlow:
-      return ToHttp(ApiError{.code = ApiErrorCode::kTooSlow,
-                             .field = "",
-                             .reason = "the request took too long"});
-    case HttpFault::kTooManyConnections:
-      break;
-  }
-  return ToHttp(RefusalReply{.refusal = Refusal::kOverloaded,
-                             .reason = "too many connections",
-                             .retry_after = kRetryAfter},
-                kNewestRecordVersion);
-}
-
 auto NotFound(const HttpRequest& request) -> HttpResponse {
   return ToHttp(ApiError{.code = ApiErrorCode::kNoSuchResource,
                          .field = "",
@@ -89,7 +62,7 @@
   callbacks.on_head = [server = self.get()](const HttpRequest& head) {
     return server->CheckHead(head);
   };
-  callbacks.on_fault = FaultResponse;
+  callbacks.on_fault = [](HttpFault fault) { return ToHttp(fault); };
   auto listening = HttpServer::Listen(context, options, std::move(callbacks));
   if (listening.has_error()) {
     return listening.error();
@@ -134,7 +107,7 @@
       bytes <= view->configuration->limits.max_body_bytes) {
     return std::nullopt;
   }
-  return FaultResponse(HttpFault::kBodyTooLarge);
+  return ToHttp(HttpFault::kBodyTooLarge);
 }
 
 auto CallerServer::OnRequest(const HttpRequest& request, HttpResponder respond)
--- a/tests/peers/caller/api_examples_test.cc
+++ b/tests/peers/caller/api_examples_test.cc
@@ -233,5 +233,15 @@
   }
 }
 
+// Nothing of the request was read: a job under its id may have run.
+TEST_F(ApiPageAnswerTest, ACrowdedInstanceLeavesItUndecided) {
+  const auto response = ToHttp(HttpFault::kTooManyConnections);
+  EXPECT_EQ(response.status, 504);
+  const auto body = ParseJson(response.body).value();
+  EXPECT_EQ(body.at("state").as_string(), "undecided");
+  EXPECT_FALSE(body.as_object().contains("not_run"));
+  EXPECT_TRUE(body.as_object().contains("retry_after_ms"));
+}
+
 }  // namespace
 }  // namespace boragecroft
