--- a/bench/failures/main.cc
+++ b/bench/failures/main.cc
@@ -19,6 +19,7 @@
 constexpr int kShortestGapMs = 200;
 constexpr uint64_t kGapSpreadMs = 800;
 constexpr milliseconds kSettleTimeout{25000};
+constexpr milliseconds kSettleTimePerJob{20};  // beside that
 constexpr milliseconds kSupervision{100};
 
 // Says how far the soak is, at once: a run that is cut short has still told.
@@ -114,7 +115,9 @@
   Progress(began, healed ? "healed" : "an instance does not serve again");
   const auto servers = CallersOf(cluster);
   auto settling = std::async(std::launch::async, [&] {
-    SettleJobs(servers, jobs, kSettleTimeout);
+    SettleJobs(
+        servers, jobs,
+        kSettleTimeout + kSettleTimePerJob * static_cast<int64_t>(jobs.size()));
     Progress(began, "callers settled their jobs");
     return AskEveryone(servers, jobs);
   });
--- a/bench/failures/tracked_job.cc
+++ b/bench/failures/tracked_job.cc
@@ -98,6 +98,7 @@
                 const std::function<void(TrackedJob&)>& handle) -> void {
   std::atomic<size_t> next = 0;
   std::vector<std::future<void>> threads;
+  threads.reserve(kThreads);
   for (auto i = 0; i < kThreads; ++i) {
     threads.push_back(std::async(std::launch::async, [&] {
       for (auto n = next++; n < jobs.size(); n = next++) {
