Borrow slots of other instances by what endpoints tell of free slots

Endpoints may now tell `free_slots` with each answer. A slot is borrowed when fresh news leaves one more free for its owner; a worker that told "full" rests 150 ms; a shared worker that may be full gets one start until its busy answer would be there. Without news, slots are borrowed only where news is rare or most workers idle, for 0.1 credit a start. The simulated fleet tells free slots as the endpoints do; no bound of its tests changed. `OnStart` takes the time.

Left: what owners meet at slots that are lent.

--- a/bench/capacity/main.cc
+++ b/bench/capacity/main.cc
@@ -215,7 +215,7 @@
                        const auto index = PickWorker(
                            fleet, request, DispatchPolicy::kFair, random, kNow);
                        if (index) {
-                         const auto ticket = OnStart(fleet, *index, {});
+                         const auto ticket = OnStart(fleet, *index, {}, now);
                          OnAnswer(fleet, ticket, EndpointAnswer::kRan, kNow);
                        }
                      })});
--- a/peers/endpoint/endpoint_codec.cc
+++ b/peers/endpoint/endpoint_codec.cc
@@ -2,6 +2,7 @@
 
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
+#include <limits>
 
 #include "core/json/text.h"
 
@@ -95,6 +96,16 @@
   return true;
 }
 
+auto MemberCount(const json::object& body, std::string_view key)
+    -> std::optional<uint32_t> {
+  const auto* member = body.if_contains(key);
+  if (member == nullptr || !member->is_int64() || member->get_int64() < 0 ||
+      member->get_int64() > std::numeric_limits<uint32_t>::max()) {
+    return std::nullopt;
+  }
+  return static_cast<uint32_t>(member->get_int64());
+}
+
 auto DecodeAnswer(const AttemptId& id,
                   const Result<HttpResponse, HttpError>& answer)
     -> AttemptOutcome {
@@ -113,6 +124,7 @@
   }
   AttemptOutcome outcome;
   outcome.id = id;
+  outcome.free_slots = MemberCount(body, "free_slots");
   if (!DecodeEnd(body, outcome)) {
     return ProtocolError(id, "the answer has no known state");
   }
--- a/peers/endpoint/endpoint_messages.h
+++ b/peers/endpoint/endpoint_messages.h
@@ -4,6 +4,7 @@
 #define PEERS_ENDPOINT_ENDPOINT_MESSAGES_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -91,6 +92,8 @@
   AttemptId id;
   ExchangeEnd end = ExchangeEnd::kSilent;
   bool from_query = false;  // answers a QueryAttempt
+  // Slots that were free when the endpoint answered, if it tells.
+  std::optional<uint32_t> free_slots;
   std::string text;
 };
 
--- a/servers/dispatcher/task_settlement.cc
+++ b/servers/dispatcher/task_settlement.cc
@@ -294,6 +294,10 @@
   if (it == running.end()) {
     return;
   }
+  if (outcome.free_slots) {
+    NoteFreeSlots(step.dispatcher.fleet, it->ticket, *outcome.free_slots,
+                  step.now);
+  }
   if (outcome.from_query) {
     OnQueryAnswer(step, task, *it, outcome);
   } else {
--- a/servers/dispatcher/task_start.cc
+++ b/servers/dispatcher/task_start.cc
@@ -77,7 +77,8 @@
   RunningAttempt running;
   running.number = progress.next_number++;
   running.endpoint = dispatcher.fleet.workers[worker].listed.address;
-  running.ticket = OnStart(dispatcher.fleet, worker, job.submission->needs);
+  running.ticket =
+      OnStart(dispatcher.fleet, worker, job.submission->needs, step.now);
   running.started = step.now.boot;
   running.lease_renewed = step.now.boot;
   running.next_query =
--- a/servers/fleet/fleet.cc
+++ b/servers/fleet/fleet.cc
@@ -1,6 +1,7 @@
 #include "servers/fleet/fleet.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace boragecroft {
 
@@ -10,9 +11,16 @@
 constexpr auto kMaxBusyBackoff = seconds(1);
 constexpr auto kFirstConnectBackoff = milliseconds(100);
 constexpr auto kMaxConnectBackoff = seconds(5);
-// Borrowed slots in progress at most.
+// Slots in progress that were borrowed blindly, at most.
 constexpr auto kMaxBorrowCredit = 32.0;
 
+// News of free slots counts for 1/e of itself after this time.
+constexpr auto kNewsLifetime = std::chrono::duration<double>(0.1);
+// One slot for the borrower and one that stays free for an owner.
+constexpr auto kFreeSlotsToBorrow = 2.0;
+// One answer moves the mean of the free slots by this part.
+constexpr auto kMeanParts = 64.0;
+
 auto Doubled(microseconds first, microseconds limit, uint32_t times)
     -> microseconds {
   auto wait = first;
@@ -48,19 +56,26 @@
 
 }  // namespace
 
-auto OnStart(Fleet& fleet, size_t index, const Needs& needs) -> Ticket {
+auto OnStart(Fleet& fleet, size_t index, const Needs& needs, Now now)
+    -> Ticket {
   auto& worker = fleet.workers[index];
+  const auto borrowed =
+      worker.in_progress - worker.borrowed >= worker.allotted_slots;
   const Ticket ticket{.index = index,
                       .worker = worker.id,
                       .needs = needs,
-                      .borrowed = worker.in_progress - worker.borrowed >=
-                                  worker.allotted_slots};
+                      .borrowed = borrowed,
+                      .blind = borrowed && !HasSlotToLend(worker, now)};
+  worker.last_start = now.boot;
+  if (worker.free_slots) {
+    worker.free_slots = Left(*worker.free_slots, 1);
+  }
   ++worker.in_progress;
   worker.occupied.cpu_millis += needs.cpu_millis;
   worker.occupied.memory_mb += needs.memory_mb;
   worker.occupied.accelerators += needs.accelerators;
-  if (ticket.borrowed) {
-    ++worker.borrowed;
+  worker.borrowed += ticket.borrowed ? 1 : 0;
+  if (ticket.blind) {
     // Paid in advance: as many may be in progress as may turn out busy.
     fleet.borrow_credit -= 1;
   }
@@ -75,13 +90,14 @@
               Now now) -> void {
   auto& worker = fleet.workers[ticket.index];
   Release(worker, ticket);
-  if (ticket.borrowed && answer != EndpointAnswer::kBusy) {
+  if (ticket.blind && answer != EndpointAnswer::kBusy) {
     fleet.borrow_credit = std::min(fleet.borrow_credit + 1, kMaxBorrowCredit);
   }
   switch (answer) {
     case EndpointAnswer::kRan:
       return Accepted(worker);
     case EndpointAnswer::kBusy:
+      NoteFreeSlots(fleet, ticket, 0, now);
       ++worker.busy_answers;
       worker.backoff_until =
           now.boot +
@@ -103,6 +119,25 @@
   }
 }
 
+auto NoteFreeSlots(Fleet& fleet,
+                   const Ticket& ticket,
+                   uint32_t free_slots,
+                   Now now) -> void {
+  auto& worker = fleet.workers[ticket.index];
+  worker.free_slots = free_slots;
+  worker.free_slots_told = now.boot;
+  fleet.mean_free_slots += (free_slots - fleet.mean_free_slots) / kMeanParts;
+}
+
+auto FreeSlotsByNews(const FleetWorker& worker, Now now) -> double {
+  const std::chrono::duration<double> age = now.boot - worker.free_slots_told;
+  return worker.free_slots.value_or(0) * std::exp(-age / kNewsLifetime);
+}
+
+auto HasSlotToLend(const FleetWorker& worker, Now now) -> bool {
+  return FreeSlotsByNews(worker, now) >= kFreeSlotsToBorrow;
+}
+
 auto CanEverRun(const Fleet& fleet,
                 const std::string& service,
                 const Needs& needs) -> bool {
--- a/servers/fleet/fleet.h
+++ b/servers/fleet/fleet.h
@@ -38,9 +38,9 @@
   std::vector<ListedWorker> workers;
 };
 
-// Each start earns this share of one busy answer that borrowing may cost.
-inline constexpr double kBorrowCreditPerStart = 0.2;
-// Busy answers that an instance may cost before it has started anything.
+// Each start earns this share of one busy answer that blind borrowing may cost.
+inline constexpr double kBorrowCreditPerStart = 0.1;
+// Busy answers that blind borrowing may cost before anything was started.
 inline constexpr double kFirstBorrowCredit = 8;
 
 enum class WorkerState : uint8_t { kLive, kLeaving, kGone };
@@ -67,6 +67,12 @@
   uint32_t connect_failures = 0;  // in a row
   Instant connect_failed_at{};
 
+  // Free slots as the endpoint last told, less those that this instance took
+  // since. Empty while it has told nothing.
+  std::optional<uint32_t> free_slots;
+  Instant free_slots_told{};
+  Instant last_start{};
+
   uint32_t in_progress = 0;  // tasks of this instance
   uint32_t borrowed = 0;     // of these, beyond the allotted slots
   Needs occupied;            // by tasks of this instance
@@ -83,7 +89,9 @@
   Instant list_applied_at{};
 
   std::unordered_map<std::string, SlotOrder> slot_orders;  // by service
-  // Busy answers that borrowing may still cost.
+  // Over the last answers of all endpoints that told their free slots.
+  double mean_free_slots = 0;
+  // Busy answers that blind borrowing may still cost.
   double borrow_credit = kFirstBorrowCredit;
   std::unordered_map<std::string, size_t> round_robin;  // next turn by service
 };
@@ -119,16 +127,29 @@
   WorkerId worker;
   Needs needs;
   bool borrowed = false;
+  bool blind = false;  // borrowed without news that the slot is free
 };
 
 // Occupies a slot of the worker at `index`, as PickWorker returned it.
-auto OnStart(Fleet& fleet, size_t index, const Needs& needs) -> Ticket;
+auto OnStart(Fleet& fleet, size_t index, const Needs& needs, Now now) -> Ticket;
 // Frees the slot and learns from the answer.
 auto OnAnswer(Fleet& fleet,
               const Ticket& ticket,
               EndpointAnswer answer,
               Now now) -> void;
 
+// Takes the number of slots that were free when the endpoint answered.
+auto NoteFreeSlots(Fleet& fleet,
+                   const Ticket& ticket,
+                   uint32_t free_slots,
+                   Now now) -> void;
+
+// The free slots of the worker by its own news, which counts for less as it
+// ages; 0 without any.
+auto FreeSlotsByNews(const FleetWorker& worker, Now now) -> double;
+// Whether the news leaves a slot free for its owner besides the borrowed one.
+auto HasSlotToLend(const FleetWorker& worker, Now now) -> bool;
+
 // False only when the zone's workers of the service are known and each is too
 // small. A worker that is leaving or put aside counts: its successor may come.
 auto CanEverRun(const Fleet& fleet,
--- a/servers/fleet/pick.cc
+++ b/servers/fleet/pick.cc
@@ -1,6 +1,7 @@
 #include "servers/fleet/pick.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace boragecroft {
 
@@ -50,29 +51,88 @@
   return std::nullopt;
 }
 
-// An own slot of the fastest worker; without one, a slot of others as long as
-// busy answers to such tries are few, where this instance has fewest tasks.
+// A worker that told that it is full gets no task for so long.
+constexpr auto kFullRest = milliseconds(150);
+// News older than this may be wrong.
+constexpr auto kNewsIsOld = milliseconds(50);
+// News older than this says nothing.
+constexpr auto kNewsIsStale = milliseconds(200);
+// Within this time a busy answer comes: until then a worker that may be full
+// gets no second task.
+constexpr auto kBusyAnswerTime = milliseconds(5);
+// From this mean of free slots on, a worker without news is taken to have one.
+constexpr auto kMostlyIdleMean = 3.0;
+
+auto NewsAge(const FleetWorker& worker, Now now) -> microseconds {
+  return worker.free_slots ? now.boot - worker.free_slots_told
+                           : microseconds::max();
+}
+
+auto AwaitsBusyAnswer(const FleetWorker& worker, Now now) -> bool {
+  const auto shared = worker.allotted_slots < worker.listed.slots;
+  const auto doubtful =
+      NewsAge(worker, now) > kNewsIsOld || *worker.free_slots == 0;
+  return shared && doubtful && now.boot - worker.last_start < kBusyAnswerTime;
+}
+
+auto ToldFull(const FleetWorker& worker, Now now) -> bool {
+  return NewsAge(worker, now) < kFullRest && *worker.free_slots == 0;
+}
+
+auto OwnsFreeSlot(const FleetWorker& worker) -> bool {
+  return worker.in_progress - worker.borrowed < worker.allotted_slots;
+}
+
+// Speed times the chance that a slot is free.
+auto ScoreOwn(const Fleet& fleet, const FleetWorker& worker, Now now)
+    -> double {
+  const auto unknown = fleet.mean_free_slots * !worker.free_slots;
+  return worker.speed *
+         (1 - std::exp(-1 - unknown - FreeSlotsByNews(worker, now)));
+}
+
+// Whether slots may be borrowed of workers that told nothing of late: where
+// news is rare, since there are more workers than own slots, or where most
+// workers have free slots.
+auto MayBorrowBlindly(const Fleet& fleet, std::span<const size_t> pool)
+    -> bool {
+  size_t own_slots = 0;
+  for (const auto n : pool) {
+    own_slots += fleet.workers[n].allotted_slots;
+  }
+  return fleet.borrow_credit >= 1 &&
+         (own_slots < pool.size() || fleet.mean_free_slots >= kMostlyIdleMean);
+}
+
+// An own slot of a fast worker that is likely to be free; without one, a slot
+// of others that news says is free; without one, a slot of a worker without
+// news where this instance has fewest tasks, as long as the credit lasts.
 auto PickFair(const Fleet& fleet,
               std::span<const size_t> pool,
               const PickRequest& request,
               Random& random,
               Now now) -> std::optional<size_t> {
-  const auto may_borrow = fleet.borrow_credit >= 1;
+  const auto may_borrow_blindly = MayBorrowBlindly(fleet, pool);
   BestCandidate own;
-  BestCandidate foreign;
+  BestCandidate lent;
+  BestCandidate blind;
   for (const auto n : pool) {
     const auto& worker = fleet.workers[n];
-    if (!CanTake(worker, request, now) ||
+    if (!CanTake(worker, request, now) || ToldFull(worker, now) ||
         Contains(request.excluded, worker.id)) {
       continue;
     }
-    if (worker.in_progress - worker.borrowed < worker.allotted_slots) {
-      own.Offer(n, worker.speed, random);
-    } else if (may_borrow) {
-      foreign.Offer(n, -static_cast<double>(worker.in_progress), random);
+    if (HasSlotToLend(worker, now) && !OwnsFreeSlot(worker)) {
+      lent.Offer(n, FreeSlotsByNews(worker, now), random);
+    } else if (AwaitsBusyAnswer(worker, now)) {
+      continue;
+    } else if (OwnsFreeSlot(worker)) {
+      own.Offer(n, ScoreOwn(fleet, worker, now), random);
+    } else if (may_borrow_blindly && NewsAge(worker, now) >= kNewsIsStale) {
+      blind.Offer(n, -static_cast<double>(worker.in_progress), random);
     }
   }
-  return own.index ? own.index : foreign.index;
+  return own.index ? own.index : lent.index ? lent.index : blind.index;
 }
 
 auto PickRoundRobin(Fleet& fleet,
--- a/tests/peers/endpoint/endpoint_codec_fuzz_test.cc
+++ b/tests/peers/endpoint/endpoint_codec_fuzz_test.cc
@@ -59,6 +59,22 @@
   RC_ASSERT(DecodeQueryAnswer(kId, answer).end == ExchangeEnd::kProtocol);
 }
 
+TEST(EndpointCodecTest, FreeSlotsAreTakenWhenTheEndpointTellsThem) {
+  const auto free_slots = [](const std::string& member) {
+    HttpResponse response;
+    response.body =
+        R"({"task":")" + ToString(kId) + R"(","state":"failed")" + member + "}";
+    const auto outcome = DecodeStartAnswer(kId, std::move(response));
+    EXPECT_EQ(outcome.end, ExchangeEnd::kFailed) << member;
+    return outcome.free_slots;
+  };
+  EXPECT_EQ(free_slots(R"(,"free_slots":3)"), 3U);
+  for (const auto* it : {"", R"(,"free_slots":-1)", R"(,"free_slots":"3")",
+                         R"(,"free_slots":1.5)", R"(,"free_slots":1e30)"}) {
+    EXPECT_EQ(free_slots(it), std::nullopt) << it;
+  }
+}
+
 RC_GTEST_PROP(EndpointCodecFuzzTest, DamagedAnswers, ()) {
   const auto answer = Answer(Mutate(AnyBody(ToString(kId))));
   CheckOutcome(DecodeStartAnswer(kId, answer));
--- a/tests/servers/fleet/pick_test.cc
+++ b/tests/servers/fleet/pick_test.cc
@@ -67,7 +67,7 @@
     RC_ASSERT(worker.state == WorkerState::kLive && !worker.draining);
     RC_ASSERT(now.boot >= worker.backoff_until);
     const auto credit = fleet.borrow_credit;
-    tickets.push_back(OnStart(fleet, *index, request.needs));
+    tickets.push_back(OnStart(fleet, *index, request.needs, now));
     RC_ASSERT(worker.in_progress <= worker.listed.slots);
     RC_ASSERT(worker.in_progress <= worker.max_connections);
     RC_ASSERT(worker.occupied.cpu_millis <= worker.listed.capacity.cpu_millis);
@@ -93,7 +93,7 @@
     if (!index) {
       continue;
     }
-    const auto ticket = OnStart(fleet, *index, {});
+    const auto ticket = OnStart(fleet, *index, {}, now);
     ++starts;
     // Own slots free up now and then, so that borrowing goes on.
     const auto is_busy = ticket.borrowed && n % 3 != 0;
@@ -106,13 +106,66 @@
   }
 }
 
+RC_GTEST_FIXTURE_PROP(PickTest,
+                      ABorrowedSlotIsToldFreeBesidesOneForItsOwnerOrPaidFor,
+                      ()) {
+  Fill(*rc::gen::inRange(2, 20), *rc::gen::inRange(2, 17),
+       *rc::gen::inRange(0, 60));
+  std::vector<Ticket> tickets;
+  for (auto n = 0; n < 200; ++n) {
+    now.boot += milliseconds(*rc::gen::inRange(0, 50));
+    if (!tickets.empty() && *rc::gen::inRange(0, 2) == 0) {
+      NoteFreeSlots(fleet, tickets.back(), *rc::gen::inRange(0, 9), now);
+      OnAnswer(fleet, tickets.back(), EndpointAnswer::kRan, now);
+      tickets.pop_back();
+    }
+    const auto index = Pick(DispatchPolicy::kFair);
+    if (!index) {
+      continue;
+    }
+    const auto& worker = fleet.workers[*index];
+    const auto told = worker.free_slots.value_or(0);
+    const auto age = now.boot - worker.free_slots_told;
+    const auto credit = fleet.borrow_credit;
+    RC_ASSERT(!worker.free_slots || told > 0 || age >= milliseconds(150));
+    tickets.push_back(OnStart(fleet, *index, {}, now));
+    RC_ASSERT(!tickets.back().borrowed || tickets.back().blind || told >= 2);
+    RC_ASSERT(!tickets.back().blind || credit >= 1);
+  }
+}
+
+TEST_F(PickTest, NewsOfFreeSlotsLetsOthersSlotsBeBorrowedWhileItIsFresh) {
+  Fill(1, 2, 10);
+  fleet.borrow_credit = 0;
+  auto& worker = fleet.workers[0];
+  Ticket last;
+  for (auto left = worker.allotted_slots; left > 0; --left) {
+    last = OnStart(fleet, 0, {}, now);
+  }
+  now.boot += seconds(1);
+  EXPECT_EQ(Pick(DispatchPolicy::kFair), std::nullopt);
+  NoteFreeSlots(fleet, last, 3, now);
+  EXPECT_EQ(Pick(DispatchPolicy::kFair), 0U);
+  now.boot += milliseconds(100);
+  EXPECT_EQ(Pick(DispatchPolicy::kFair), std::nullopt);
+}
+
+TEST_F(PickTest, ASharedWorkerThatMayBeFullGetsOneTaskUntilABusyAnswerIsDue) {
+  Fill(1, 2, 10);
+  ASSERT_GE(fleet.workers[0].allotted_slots, 2U);
+  OnStart(fleet, 0, {}, now);
+  EXPECT_EQ(Pick(DispatchPolicy::kFair), std::nullopt);
+  now.boot += milliseconds(5);
+  EXPECT_EQ(Pick(DispatchPolicy::kFair), 0U);
+}
+
 TEST_F(PickTest, TheFastestWorkerWithAnOwnSlotIsPicked) {
   Fill(16, 1, 10);
   fleet.workers[5].speed = 3;
   for (auto n = 0; n < 8; ++n) {
     const auto index = Pick(DispatchPolicy::kFair);
     ASSERT_EQ(index, 5U);
-    OnStart(fleet, *index, {});
+    OnStart(fleet, *index, {}, now);
   }
   EXPECT_NE(Pick(DispatchPolicy::kFair), 5U);
 }
@@ -120,7 +173,7 @@
 TEST_F(PickTest, BackoffGrowsWithBusyAnswersInARowAndEndsWithAnAcceptedTask) {
   Fill(1, 1, 1);
   auto answer = [&](EndpointAnswer it) {
-    OnAnswer(fleet, OnStart(fleet, 0, {}), it, now);
+    OnAnswer(fleet, OnStart(fleet, 0, {}, now), it, now);
     return fleet.workers[0].backoff_until - now.boot;
   };
   EXPECT_EQ(answer(EndpointAnswer::kBusy), milliseconds(30));
--- a/tests/servers/fleet/worker_list_test.cc
+++ b/tests/servers/fleet/worker_list_test.cc
@@ -22,7 +22,7 @@
     return ApplyWorkerList(fleet, WorkerList{now.wall, workers}, now);
   }
   auto Answer(size_t index, EndpointAnswer answer) -> void {
-    OnAnswer(fleet, OnStart(fleet, index, {}), answer, now);
+    OnAnswer(fleet, OnStart(fleet, index, {}, now), answer, now);
   }
   auto CountUsable() const -> size_t {
     return std::count_if(
@@ -98,7 +98,7 @@
 TEST_F(WorkerListTest, ADrainingWorkerGetsNothingUntilItsSuccessorIsListed) {
   auto pool = Pool(2);
   Apply(pool);
-  const auto task_in_progress = OnStart(fleet, 0, {});
+  const auto task_in_progress = OnStart(fleet, 0, {}, now);
   Answer(0, EndpointAnswer::kDraining);
   Apply(pool);
   OnAnswer(fleet, task_in_progress, EndpointAnswer::kRan, now);
--- a/tests/servers/health/simulated_fleet.cc
+++ b/tests/servers/health/simulated_fleet.cc
@@ -153,7 +153,7 @@
       const auto task = it.queue.front();
       it.queue.pop_front();
       StartProbe(it.judge, it.fleet.workers[*index].id, kTask, now);
-      const auto ticket = OnStart(it.fleet, *index, {});
+      const auto ticket = OnStart(it.fleet, *index, {}, now);
       ++it.in_progress;
       const auto started = now.boot;
       At(now.boot + kRoundTrip / 2,
@@ -198,9 +198,13 @@
     outcome.failed_by_bad_workers += is_bad ? 1 : 0;
     const auto failed = is_bad || task.fails;
     const auto run_time = failed ? microseconds(kFailureTime) : task.run_time;
-    At(now.boot + run_time, [=, this] { --busy_slots[ticket.index]; });
-    At(now.boot + run_time + kRoundTrip / 2,
-       [=, this] { Answer(n, task, ticket, started, failed); });
+    At(now.boot + run_time, [=, this] {
+      const auto free_slots = 8 - --busy_slots[ticket.index];
+      At(now.boot + kRoundTrip / 2, [=, this] {
+        NoteFreeSlots(instances[n].fleet, ticket, free_slots, now);
+        Answer(n, task, ticket, started, failed);
+      });
+    });
   }
 
   auto Answer(size_t n,
--- a/tests/standins/endpoint/worker.cc
+++ b/tests/standins/endpoint/worker.cc
@@ -18,10 +18,14 @@
   return body;
 }
 
-auto EndBody(const std::string& task, const Attempt& attempt) -> HttpResponse {
+auto EndBody(const Worker& worker,
+             const std::string& task,
+             const Attempt& attempt) -> HttpResponse {
   HttpResponse response;
   response.body =
       "{\"task\":\"" + task + "\",\"state\":\"" + attempt.state + "\"";
+  response.body +=
+      ",\"free_slots\":" + std::to_string(worker.slots - worker.running);
   response.body += attempt.state == "done"
                        ? ",\"result\":" + attempt.result + "}"
                        : ",\"reason\":\"as told\"}";
@@ -37,16 +41,16 @@
       worker.abandoned.push_back(respond);
       return;
     case WorkerMode::kCrossed:
-      respond(EndBody(task + "9", attempt));
+      respond(EndBody(worker, task + "9", attempt));
       return;
     case WorkerMode::kGarbled: {
-      auto response = EndBody(task, attempt);
+      auto response = EndBody(worker, task, attempt);
       response.body.resize(response.body.size() / 2);
       respond(std::move(response));
       return;
     }
     default:
-      respond(EndBody(task, attempt));
+      respond(EndBody(worker, task, attempt));
   }
 }
 
@@ -158,18 +162,18 @@
     it->second.state = "not_started";
   }
   End(worker, task, "stopped");
-  return EndBody(task, worker.attempts[task]);
+  return EndBody(worker, task, worker.attempts[task]);
 }
 
 auto OnStatus(const Worker& worker, const json::object& body) -> HttpResponse {
   const auto task = TextOr(body, "task", "");
   const auto it = worker.attempts.find(task);
   if (it != worker.attempts.end()) {
-    return EndBody(task, it->second);
+    return EndBody(worker, task, it->second);
   }
   Attempt unknown;
   unknown.state = "unknown";
-  return EndBody(task, unknown);
+  return EndBody(worker, task, unknown);
 }
 
 }  // namespace
