--- a/bench/scenarios/load_scenarios.cc
+++ b/bench/scenarios/load_scenarios.cc
@@ -224,9 +224,8 @@
     auto refused = served;
     refused.jobs_per_second = 2000;
     refused.shape.tasks = tasks;
-    refused.shape.kind = "never-in-time";
-    refused.shape.run_hint = milliseconds(60000);
-    refused.shape.deadline = milliseconds(20);
+    // Shorter than the run time that the served requests have taught.
+    refused.shape.deadline = kUrgentRun / 3;
     const auto cost = CostPerRequest(*run, refused, idle_cores, "refused");
     const auto name = prefix + ".refused_" + std::to_string(tasks) + "_tasks";
     PrintFigure(reporter, name, cost, "us/request");
