--- a/peers/endpoint/endpoint_messages.h
+++ b/peers/endpoint/endpoint_messages.h
@@ -4,6 +4,7 @@
 #define PEERS_ENDPOINT_ENDPOINT_MESSAGES_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -100,6 +101,8 @@
   ExchangeEnd end = ExchangeEnd::kSilent;
   bool from_query = false;  // answers a QueryAttempt
   std::string incarnation;  // of the process that answered; empty when unnamed
+  // Slots that were free when the endpoint answered, if it tells.
+  std::optional<uint32_t> free_slots;
   std::string text;
 };
 
--- a/tests/standins/endpoint/worker.cc
+++ b/tests/standins/endpoint/worker.cc
@@ -28,6 +28,8 @@
   HttpResponse response;
   response.body = "{\"task\":\"" + task + "\",\"incarnation\":\"" +
                   worker.incarnation + "\",\"state\":\"" + attempt.state + "\"";
+  response.body +=
+      ",\"free_slots\":" + std::to_string(worker.slots - worker.running);
   response.body += attempt.state == "done"
                        ? ",\"result\":" + attempt.result + "}"
                        : ",\"reason\":\"as told\"}";
