--- a/servers/dispatcher/state.h
+++ b/servers/dispatcher/state.h
@@ -147,6 +147,7 @@
   Incarnation from;
   uint64_t number = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): false alarm of clang-tidy 14.
   auto operator<=>(const RefusedRelay&) const = default;
 };
 
