Check the account of drawn stories against endpoints and callers

At the end of each story an operator asks for the account of all time: what is done in it are exactly the jobs that callers were last told are done, nothing is undecided, failed and refused are at most what callers were told (a job without any record is in no account), and the tasks that it calls done, failed or may-have-run cover all that endpoints started of recorded jobs.

--- a/tests/servers/dispatcher/promise_checks.cc
+++ b/tests/servers/dispatcher/promise_checks.cc
@@ -126,11 +126,26 @@
   }
 }
 
+auto RecordOf(const VirtualFleet& fleet, const JobId& id) -> JobRecord {
+  return FoldJob(SegmentsBelow(fleet.table, LedgerPrefix(id.incarnation)),
+                 SegmentsBelow(fleet.table, AddendumPrefix(id.incarnation)),
+                 id);
+}
+
+auto AllJobs(const VirtualFleet& fleet) -> std::vector<JobId> {
+  std::vector<JobId> jobs;
+  for (const auto& it : fleet.submissions) {
+    jobs.push_back(it.first);
+  }
+  for (const auto& it : fleet.ids_of_keys) {
+    jobs.push_back(it.second);
+  }
+  return jobs;
+}
+
 // The final entry and the addendum say what ran.
 auto CheckRecord(VirtualFleet& fleet, const JobId& id) -> void {
-  const auto record =
-      FoldJob(SegmentsBelow(fleet.table, LedgerPrefix(id.incarnation)),
-              SegmentsBelow(fleet.table, AddendumPrefix(id.incarnation)), id);
+  const auto record = RecordOf(fleet, id);
   for (const auto& entry : {record.final_entry, record.addendum}) {
     uint32_t index = 0;
     for (const auto& run : entry ? entry->tasks : TaskRuns()) {
@@ -181,11 +196,21 @@
   }
 }
 
-// All submissions under one id or key.
-struct Submitted {
-  std::shared_ptr<const Submission> submission;
-  bool all_refused = true;
-};
+// When each submission was refused, nothing may start, also not by a copy of a
+// request that comes later.
+auto CheckTasks(VirtualFleet& fleet, const Submitted& submitted) -> void {
+  for (const auto& it : submitted.submission->payloads) {
+    const auto starts = StartsOf(fleet, it);
+    if (starts > 1 && !submitted.submission->repeatable) {
+      Fault(fleet, "started twice: " + it);
+    }
+    if (starts > 0 && submitted.all_refused) {
+      Fault(fleet, "all submissions refused, but it started: " + it);
+    }
+  }
+}
+
+}  // namespace
 
 auto CollectSubmitted(const VirtualFleet& fleet)
     -> std::map<std::string, Submitted> {
@@ -202,22 +227,17 @@
   return all;
 }
 
-// When each submission was refused, nothing may start, also not by a copy of a
-// request that comes later.
-auto CheckTasks(VirtualFleet& fleet, const Submitted& submitted) -> void {
-  for (const auto& it : submitted.submission->payloads) {
-    const auto starts = StartsOf(fleet, it);
-    if (starts > 1 && !submitted.submission->repeatable) {
-      Fault(fleet, "started twice: " + it);
-    }
-    if (starts > 0 && submitted.all_refused) {
-      Fault(fleet, "all submissions refused, but it started: " + it);
+auto RecordedJobs(const VirtualFleet& fleet) -> std::vector<JobId> {
+  std::vector<JobId> jobs;
+  for (const auto& it : AllJobs(fleet)) {
+    const auto record = RecordOf(fleet, it);
+    if (HasEntry(record) || record.addendum) {
+      jobs.push_back(it);
     }
   }
+  return jobs;
 }
 
-}  // namespace
-
 auto NoteReply(VirtualFleet& fleet, const CallerReply& reply) -> void {
   auto& asked = fleet.asked[reply.reply_to.number];
   asked.replies.push_back(reply.body);
@@ -293,11 +313,8 @@
     CheckTasks(fleet, submitted);
     CheckStatements(fleet, subject);
   }
-  for (const auto& it : fleet.submissions) {
-    CheckRecord(fleet, it.first);
-  }
-  for (const auto& it : fleet.ids_of_keys) {
-    CheckRecord(fleet, it.second);
+  for (const auto& it : AllJobs(fleet)) {
+    CheckRecord(fleet, it);
   }
   for (const auto& it : fleet.called_not_run) {
     if (StartsOf(fleet, it.first) != 0) {
--- a/tests/servers/dispatcher/promise_checks.h
+++ b/tests/servers/dispatcher/promise_checks.h
@@ -8,6 +8,17 @@
 
 namespace boragecroft {
 
+// All submissions under one id or key.
+struct Submitted {
+  std::shared_ptr<const Submission> submission;
+  bool all_refused = true;
+};
+
+// By id or key.
+auto CollectSubmitted(const VirtualFleet& fleet)
+    -> std::map<std::string, Submitted>;
+// The submitted ids that have an entry in their owner's ledger, or an addendum.
+auto RecordedJobs(const VirtualFleet& fleet) -> std::vector<JobId>;
 // Takes a reply to a caller and checks what it says.
 auto NoteReply(VirtualFleet& fleet, const CallerReply& reply) -> void;
 // Checks a refusal that is relayed at the time when it is decided: a submission
--- a/tests/servers/dispatcher/promises_test.cc
+++ b/tests/servers/dispatcher/promises_test.cc
@@ -3,6 +3,7 @@
 // After GoogleTest.
 #include <rapidcheck/gtest.h>
 
+#include "tests/servers/dispatcher/account_checks.h"
 #include "tests/servers/dispatcher/promise_checks.h"
 #include "tests/servers/dispatcher/virtual_callers.h"
 #include "tests/servers/dispatcher/virtual_platform.h"
@@ -292,6 +293,7 @@
   }
   Heal(*fleet);
   CheckSettled(story);
+  CheckAccount(*fleet, 0);
   CheckConverged(*fleet);
   return CheckAll(*fleet);
 }
--- a/tests/servers/dispatcher/virtual_fleet.cc
+++ b/tests/servers/dispatcher/virtual_fleet.cc
@@ -19,6 +19,9 @@
   for (const auto& it : out.callers) {
     NoteReply(fleet, it);
   }
+  for (auto& it : out.operators) {
+    fleet.operator_replies[it.number] = std::move(it);
+  }
   for (const auto& it : out.endpoints) {
     CarryToEndpoint(fleet, node, it);
   }
--- a/tests/servers/dispatcher/virtual_fleet.h
+++ b/tests/servers/dispatcher/virtual_fleet.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "servers/dispatcher/dispatcher.h"
+#include "servers/dispatcher/operator_messages.h"
 #include "servers/dispatcher/submitting.h"
 #include "tests/servers/dispatcher/virtual_endpoint.h"
 #include "tests/servers/ledger/fake_table.h"
@@ -92,6 +93,7 @@
   std::map<std::string, JobId> ids_of_keys;
   std::map<std::string, std::string> called_not_run;  // by payload
   std::set<Incarnation> given_up;  // died, or taken for gone by the story
+  std::map<uint64_t, OperatorReply> operator_replies;  // by number
   std::vector<std::string> violations;
   uint64_t next_number = 1;
   uint64_t next_incarnation = 0x1000;
