Send team demands as numbers between instances that know the same teams

Each instance now tells a digest of the names and order of its teams; to a peer that told the same digest the demands go as bare numbers, to others by name. Numbers for other teams count as none.

--- a/bench/capacity/main.cc
+++ b/bench/capacity/main.cc
@@ -106,7 +106,10 @@
   heartbeat.sequence = 1234567;
   heartbeat.configuration_version = 4321;
   heartbeat.service_demands = {{.name = "letters", .tasks = 133}};
-  heartbeat.team_demands = DemandListOf(teams);
+  heartbeat.teams_digest = 0x12345678;
+  for (const auto& it : DemandListOf(teams)) {
+    heartbeat.team_tasks.push_back(it.tasks);
+  }
   heartbeat.echo_incarnation = Incarnation{0x1234567890ABCDEF};
   heartbeat.echo_sequence = 1234566;
   PeerMessage message;
@@ -309,7 +312,6 @@
     memory.push_back({static_cast<double>(count), HeapOf([&] {
                         ApplyInstanceList(membership, list, kNow.boot);
                         for (auto& it : membership.peers) {
-                          it.team_demands = DemandListOf(kTeams);
                           it.service_demands = DemandListOf(2);
                         }
                       })});
--- a/peers/instance/boragecroft.thrift
+++ b/peers/instance/boragecroft.thrift
@@ -78,6 +78,8 @@
   14: list<WireVerdict> verdicts
   15: i64 started_ms
   16: bool stopped
+  17: i32 teams_digest
+  18: list<i32> team_tasks
 }
 
 struct WireConfigurationRequest {
--- a/peers/instance/gen/boragecroft_types.cpp
+++ b/peers/instance/gen/boragecroft_types.cpp
@@ -1501,6 +1501,14 @@
 void WireHeartbeat::__set_stopped(const bool val) {
   this->stopped = val;
 }
+
+void WireHeartbeat::__set_teams_digest(const int32_t val) {
+  this->teams_digest = val;
+}
+
+void WireHeartbeat::__set_team_tasks(const std::vector<int32_t> & val) {
+  this->team_tasks = val;
+}
 std::ostream& operator<<(std::ostream& out, const WireHeartbeat& obj)
 {
   obj.printTo(out);
@@ -1705,6 +1713,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->teams_digest);
+          this->__isset.teams_digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->team_tasks.clear();
+            uint32_t _size56;
+            ::apache::thrift::protocol::TType _etype59;
+            xfer += iprot->readListBegin(_etype59, _size56);
+            this->team_tasks.resize(_size56);
+            uint32_t _i60;
+            for (_i60 = 0; _i60 < _size56; ++_i60)
+            {
+              xfer += iprot->readI32(this->team_tasks[_i60]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.team_tasks = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1749,10 +1785,10 @@
   xfer += oprot->writeFieldBegin("service_demands", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->service_demands.size()));
-    std::vector<WireDemand> ::const_iterator _iter56;
-    for (_iter56 = this->service_demands.begin(); _iter56 != this->service_demands.end(); ++_iter56)
+    std::vector<WireDemand> ::const_iterator _iter61;
+    for (_iter61 = this->service_demands.begin(); _iter61 != this->service_demands.end(); ++_iter61)
     {
-      xfer += (*_iter56).write(oprot);
+      xfer += (*_iter61).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1761,10 +1797,10 @@
   xfer += oprot->writeFieldBegin("team_demands", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->team_demands.size()));
-    std::vector<WireDemand> ::const_iterator _iter57;
-    for (_iter57 = this->team_demands.begin(); _iter57 != this->team_demands.end(); ++_iter57)
+    std::vector<WireDemand> ::const_iterator _iter62;
+    for (_iter62 = this->team_demands.begin(); _iter62 != this->team_demands.end(); ++_iter62)
     {
-      xfer += (*_iter57).write(oprot);
+      xfer += (*_iter62).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1789,10 +1825,10 @@
   xfer += oprot->writeFieldBegin("quota_leases", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quota_leases.size()));
-    std::vector<WireDemand> ::const_iterator _iter58;
-    for (_iter58 = this->quota_leases.begin(); _iter58 != this->quota_leases.end(); ++_iter58)
+    std::vector<WireDemand> ::const_iterator _iter63;
+    for (_iter63 = this->quota_leases.begin(); _iter63 != this->quota_leases.end(); ++_iter63)
     {
-      xfer += (*_iter58).write(oprot);
+      xfer += (*_iter63).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1801,10 +1837,10 @@
   xfer += oprot->writeFieldBegin("verdicts", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->verdicts.size()));
-    std::vector<WireVerdict> ::const_iterator _iter59;
-    for (_iter59 = this->verdicts.begin(); _iter59 != this->verdicts.end(); ++_iter59)
+    std::vector<WireVerdict> ::const_iterator _iter64;
+    for (_iter64 = this->verdicts.begin(); _iter64 != this->verdicts.end(); ++_iter64)
     {
-      xfer += (*_iter59).write(oprot);
+      xfer += (*_iter64).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1818,6 +1854,22 @@
   xfer += oprot->writeBool(this->stopped);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("teams_digest", ::apache::thrift::protocol::T_I32, 17);
+  xfer += oprot->writeI32(this->teams_digest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("team_tasks", ::apache::thrift::protocol::T_LIST, 18);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->team_tasks.size()));
+    std::vector<int32_t> ::const_iterator _iter65;
+    for (_iter65 = this->team_tasks.begin(); _iter65 != this->team_tasks.end(); ++_iter65)
+    {
+      xfer += oprot->writeI32((*_iter65));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1841,85 +1893,95 @@
   swap(a.verdicts, b.verdicts);
   swap(a.started_ms, b.started_ms);
   swap(a.stopped, b.stopped);
+  swap(a.teams_digest, b.teams_digest);
+  swap(a.team_tasks, b.team_tasks);
   swap(a.__isset, b.__isset);
 }
 
-WireHeartbeat::WireHeartbeat(const WireHeartbeat& other60) {
-  instance = other60.instance;
-  zone = other60.zone;
-  address = other60.address;
-  sequence = other60.sequence;
-  configuration_version = other60.configuration_version;
-  leaving = other60.leaving;
-  service_demands = other60.service_demands;
-  team_demands = other60.team_demands;
-  echo_incarnation = other60.echo_incarnation;
-  echo_sequence = other60.echo_sequence;
-  roster_digest = other60.roster_digest;
-  quota_claims = other60.quota_claims;
-  quota_leases = other60.quota_leases;
-  verdicts = other60.verdicts;
-  started_ms = other60.started_ms;
-  stopped = other60.stopped;
-  __isset = other60.__isset;
-}
-WireHeartbeat::WireHeartbeat(WireHeartbeat&& other61) noexcept {
-  instance = std::move(other61.instance);
-  zone = std::move(other61.zone);
-  address = std::move(other61.address);
-  sequence = other61.sequence;
-  configuration_version = other61.configuration_version;
-  leaving = other61.leaving;
-  service_demands = std::move(other61.service_demands);
-  team_demands = std::move(other61.team_demands);
-  echo_incarnation = other61.echo_incarnation;
-  echo_sequence = other61.echo_sequence;
-  roster_digest = other61.roster_digest;
-  quota_claims = other61.quota_claims;
-  quota_leases = std::move(other61.quota_leases);
-  verdicts = std::move(other61.verdicts);
-  started_ms = other61.started_ms;
-  stopped = other61.stopped;
-  __isset = other61.__isset;
-}
-WireHeartbeat& WireHeartbeat::operator=(const WireHeartbeat& other62) {
-  instance = other62.instance;
-  zone = other62.zone;
-  address = other62.address;
-  sequence = other62.sequence;
-  configuration_version = other62.configuration_version;
-  leaving = other62.leaving;
-  service_demands = other62.service_demands;
-  team_demands = other62.team_demands;
-  echo_incarnation = other62.echo_incarnation;
-  echo_sequence = other62.echo_sequence;
-  roster_digest = other62.roster_digest;
-  quota_claims = other62.quota_claims;
-  quota_leases = other62.quota_leases;
-  verdicts = other62.verdicts;
-  started_ms = other62.started_ms;
-  stopped = other62.stopped;
-  __isset = other62.__isset;
+WireHeartbeat::WireHeartbeat(const WireHeartbeat& other66) {
+  instance = other66.instance;
+  zone = other66.zone;
+  address = other66.address;
+  sequence = other66.sequence;
+  configuration_version = other66.configuration_version;
+  leaving = other66.leaving;
+  service_demands = other66.service_demands;
+  team_demands = other66.team_demands;
+  echo_incarnation = other66.echo_incarnation;
+  echo_sequence = other66.echo_sequence;
+  roster_digest = other66.roster_digest;
+  quota_claims = other66.quota_claims;
+  quota_leases = other66.quota_leases;
+  verdicts = other66.verdicts;
+  started_ms = other66.started_ms;
+  stopped = other66.stopped;
+  teams_digest = other66.teams_digest;
+  team_tasks = other66.team_tasks;
+  __isset = other66.__isset;
+}
+WireHeartbeat::WireHeartbeat(WireHeartbeat&& other67) noexcept {
+  instance = std::move(other67.instance);
+  zone = std::move(other67.zone);
+  address = std::move(other67.address);
+  sequence = other67.sequence;
+  configuration_version = other67.configuration_version;
+  leaving = other67.leaving;
+  service_demands = std::move(other67.service_demands);
+  team_demands = std::move(other67.team_demands);
+  echo_incarnation = other67.echo_incarnation;
+  echo_sequence = other67.echo_sequence;
+  roster_digest = other67.roster_digest;
+  quota_claims = other67.quota_claims;
+  quota_leases = std::move(other67.quota_leases);
+  verdicts = std::move(other67.verdicts);
+  started_ms = other67.started_ms;
+  stopped = other67.stopped;
+  teams_digest = other67.teams_digest;
+  team_tasks = std::move(other67.team_tasks);
+  __isset = other67.__isset;
+}
+WireHeartbeat& WireHeartbeat::operator=(const WireHeartbeat& other68) {
+  instance = other68.instance;
+  zone = other68.zone;
+  address = other68.address;
+  sequence = other68.sequence;
+  configuration_version = other68.configuration_version;
+  leaving = other68.leaving;
+  service_demands = other68.service_demands;
+  team_demands = other68.team_demands;
+  echo_incarnation = other68.echo_incarnation;
+  echo_sequence = other68.echo_sequence;
+  roster_digest = other68.roster_digest;
+  quota_claims = other68.quota_claims;
+  quota_leases = other68.quota_leases;
+  verdicts = other68.verdicts;
+  started_ms = other68.started_ms;
+  stopped = other68.stopped;
+  teams_digest = other68.teams_digest;
+  team_tasks = other68.team_tasks;
+  __isset = other68.__isset;
   return *this;
 }
-WireHeartbeat& WireHeartbeat::operator=(WireHeartbeat&& other63) noexcept {
-  instance = std::move(other63.instance);
-  zone = std::move(other63.zone);
-  address = std::move(other63.address);
-  sequence = other63.sequence;
-  configuration_version = other63.configuration_version;
-  leaving = other63.leaving;
-  service_demands = std::move(other63.service_demands);
-  team_demands = std::move(other63.team_demands);
-  echo_incarnation = other63.echo_incarnation;
-  echo_sequence = other63.echo_sequence;
-  roster_digest = other63.roster_digest;
-  quota_claims = other63.quota_claims;
-  quota_leases = std::move(other63.quota_leases);
-  verdicts = std::move(other63.verdicts);
-  started_ms = other63.started_ms;
-  stopped = other63.stopped;
-  __isset = other63.__isset;
+WireHeartbeat& WireHeartbeat::operator=(WireHeartbeat&& other69) noexcept {
+  instance = std::move(other69.instance);
+  zone = std::move(other69.zone);
+  address = std::move(other69.address);
+  sequence = other69.sequence;
+  configuration_version = other69.configuration_version;
+  leaving = other69.leaving;
+  service_demands = std::move(other69.service_demands);
+  team_demands = std::move(other69.team_demands);
+  echo_incarnation = other69.echo_incarnation;
+  echo_sequence = other69.echo_sequence;
+  roster_digest = other69.roster_digest;
+  quota_claims = other69.quota_claims;
+  quota_leases = std::move(other69.quota_leases);
+  verdicts = std::move(other69.verdicts);
+  started_ms = other69.started_ms;
+  stopped = other69.stopped;
+  teams_digest = other69.teams_digest;
+  team_tasks = std::move(other69.team_tasks);
+  __isset = other69.__isset;
   return *this;
 }
 void WireHeartbeat::printTo(std::ostream& out) const {
@@ -1941,6 +2003,8 @@
   out << ", " << "verdicts=" << to_string(verdicts);
   out << ", " << "started_ms=" << to_string(started_ms);
   out << ", " << "stopped=" << to_string(stopped);
+  out << ", " << "teams_digest=" << to_string(teams_digest);
+  out << ", " << "team_tasks=" << to_string(team_tasks);
   out << ")";
 }
 
@@ -2020,22 +2084,22 @@
   swap(a.__isset, b.__isset);
 }
 
-WireConfigurationRequest::WireConfigurationRequest(const WireConfigurationRequest& other64) noexcept {
-  known_version = other64.known_version;
-  __isset = other64.__isset;
+WireConfigurationRequest::WireConfigurationRequest(const WireConfigurationRequest& other70) noexcept {
+  known_version = other70.known_version;
+  __isset = other70.__isset;
 }
-WireConfigurationRequest::WireConfigurationRequest(WireConfigurationRequest&& other65) noexcept {
-  known_version = other65.known_version;
-  __isset = other65.__isset;
+WireConfigurationRequest::WireConfigurationRequest(WireConfigurationRequest&& other71) noexcept {
+  known_version = other71.known_version;
+  __isset = other71.__isset;
 }
-WireConfigurationRequest& WireConfigurationRequest::operator=(const WireConfigurationRequest& other66) noexcept {
-  known_version = other66.known_version;
-  __isset = other66.__isset;
+WireConfigurationRequest& WireConfigurationRequest::operator=(const WireConfigurationRequest& other72) noexcept {
+  known_version = other72.known_version;
+  __isset = other72.__isset;
   return *this;
 }
-WireConfigurationRequest& WireConfigurationRequest::operator=(WireConfigurationRequest&& other67) noexcept {
-  known_version = other67.known_version;
-  __isset = other67.__isset;
+WireConfigurationRequest& WireConfigurationRequest::operator=(WireConfigurationRequest&& other73) noexcept {
+  known_version = other73.known_version;
+  __isset = other73.__isset;
   return *this;
 }
 void WireConfigurationRequest::printTo(std::ostream& out) const {
@@ -2138,26 +2202,26 @@
   swap(a.__isset, b.__isset);
 }
 
-WireConfiguration::WireConfiguration(const WireConfiguration& other68) {
-  version = other68.version;
-  document = other68.document;
-  __isset = other68.__isset;
+WireConfiguration::WireConfiguration(const WireConfiguration& other74) {
+  version = other74.version;
+  document = other74.document;
+  __isset = other74.__isset;
 }
-WireConfiguration::WireConfiguration(WireConfiguration&& other69) noexcept {
-  version = other69.version;
-  document = std::move(other69.document);
-  __isset = other69.__isset;
+WireConfiguration::WireConfiguration(WireConfiguration&& other75) noexcept {
+  version = other75.version;
+  document = std::move(other75.document);
+  __isset = other75.__isset;
 }
-WireConfiguration& WireConfiguration::operator=(const WireConfiguration& other70) {
-  version = other70.version;
-  document = other70.document;
-  __isset = other70.__isset;
+WireConfiguration& WireConfiguration::operator=(const WireConfiguration& other76) {
+  version = other76.version;
+  document = other76.document;
+  __isset = other76.__isset;
   return *this;
 }
-WireConfiguration& WireConfiguration::operator=(WireConfiguration&& other71) noexcept {
-  version = other71.version;
-  document = std::move(other71.document);
-  __isset = other71.__isset;
+WireConfiguration& WireConfiguration::operator=(WireConfiguration&& other77) noexcept {
+  version = other77.version;
+  document = std::move(other77.document);
+  __isset = other77.__isset;
   return *this;
 }
 void WireConfiguration::printTo(std::ostream& out) const {
@@ -2339,42 +2403,42 @@
   swap(a.__isset, b.__isset);
 }
 
-WireMessage::WireMessage(const WireMessage& other72) {
-  from_incarnation = other72.from_incarnation;
-  heartbeat = other72.heartbeat;
-  relay_request = other72.relay_request;
-  relay_reply = other72.relay_reply;
-  configuration_request = other72.configuration_request;
-  configuration = other72.configuration;
-  __isset = other72.__isset;
-}
-WireMessage::WireMessage(WireMessage&& other73) noexcept {
-  from_incarnation = other73.from_incarnation;
-  heartbeat = std::move(other73.heartbeat);
-  relay_request = std::move(other73.relay_request);
-  relay_reply = std::move(other73.relay_reply);
-  configuration_request = std::move(other73.configuration_request);
-  configuration = std::move(other73.configuration);
-  __isset = other73.__isset;
-}
-WireMessage& WireMessage::operator=(const WireMessage& other74) {
-  from_incarnation = other74.from_incarnation;
-  heartbeat = other74.heartbeat;
-  relay_request = other74.relay_request;
-  relay_reply = other74.relay_reply;
-  configuration_request = other74.configuration_request;
-  configuration = other74.configuration;
-  __isset = other74.__isset;
+WireMessage::WireMessage(const WireMessage& other78) {
+  from_incarnation = other78.from_incarnation;
+  heartbeat = other78.heartbeat;
+  relay_request = other78.relay_request;
+  relay_reply = other78.relay_reply;
+  configuration_request = other78.configuration_request;
+  configuration = other78.configuration;
+  __isset = other78.__isset;
+}
+WireMessage::WireMessage(WireMessage&& other79) noexcept {
+  from_incarnation = other79.from_incarnation;
+  heartbeat = std::move(other79.heartbeat);
+  relay_request = std::move(other79.relay_request);
+  relay_reply = std::move(other79.relay_reply);
+  configuration_request = std::move(other79.configuration_request);
+  configuration = std::move(other79.configuration);
+  __isset = other79.__isset;
+}
+WireMessage& WireMessage::operator=(const WireMessage& other80) {
+  from_incarnation = other80.from_incarnation;
+  heartbeat = other80.heartbeat;
+  relay_request = other80.relay_request;
+  relay_reply = other80.relay_reply;
+  configuration_request = other80.configuration_request;
+  configuration = other80.configuration;
+  __isset = other80.__isset;
   return *this;
 }
-WireMessage& WireMessage::operator=(WireMessage&& other75) noexcept {
-  from_incarnation = other75.from_incarnation;
-  heartbeat = std::move(other75.heartbeat);
-  relay_request = std::move(other75.relay_request);
-  relay_reply = std::move(other75.relay_reply);
-  configuration_request = std::move(other75.configuration_request);
-  configuration = std::move(other75.configuration);
-  __isset = other75.__isset;
+WireMessage& WireMessage::operator=(WireMessage&& other81) noexcept {
+  from_incarnation = other81.from_incarnation;
+  heartbeat = std::move(other81.heartbeat);
+  relay_request = std::move(other81.relay_request);
+  relay_reply = std::move(other81.relay_reply);
+  configuration_request = std::move(other81.configuration_request);
+  configuration = std::move(other81.configuration);
+  __isset = other81.__isset;
   return *this;
 }
 void WireMessage::printTo(std::ostream& out) const {
--- a/peers/instance/gen/boragecroft_types.h
+++ b/peers/instance/gen/boragecroft_types.h
@@ -557,7 +557,7 @@
 std::ostream& operator<<(std::ostream& out, const WireVerdict& obj);
 
 typedef struct _WireHeartbeat__isset {
-  _WireHeartbeat__isset() : instance(false), zone(false), address(false), sequence(false), configuration_version(false), leaving(false), service_demands(false), team_demands(false), echo_incarnation(false), echo_sequence(false), roster_digest(false), quota_claims(false), quota_leases(false), verdicts(false), started_ms(false), stopped(false) {}
+  _WireHeartbeat__isset() : instance(false), zone(false), address(false), sequence(false), configuration_version(false), leaving(false), service_demands(false), team_demands(false), echo_incarnation(false), echo_sequence(false), roster_digest(false), quota_claims(false), quota_leases(false), verdicts(false), started_ms(false), stopped(false), teams_digest(false), team_tasks(false) {}
   bool instance :1;
   bool zone :1;
   bool address :1;
@@ -574,6 +574,8 @@
   bool verdicts :1;
   bool started_ms :1;
   bool stopped :1;
+  bool teams_digest :1;
+  bool team_tasks :1;
 } _WireHeartbeat__isset;
 
 class WireHeartbeat : public virtual ::apache::thrift::TBase {
@@ -595,7 +597,8 @@
                   roster_digest(0),
                   quota_claims(0),
                   started_ms(0),
-                  stopped(0) {
+                  stopped(0),
+                  teams_digest(0) {
   }
 
   virtual ~WireHeartbeat() noexcept;
@@ -615,6 +618,8 @@
   std::vector<WireVerdict>  verdicts;
   int64_t started_ms;
   bool stopped;
+  int32_t teams_digest;
+  std::vector<int32_t>  team_tasks;
 
   _WireHeartbeat__isset __isset;
 
@@ -650,6 +655,10 @@
 
   void __set_stopped(const bool val);
 
+  void __set_teams_digest(const int32_t val);
+
+  void __set_team_tasks(const std::vector<int32_t> & val);
+
   bool operator == (const WireHeartbeat & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -684,6 +693,10 @@
       return false;
     if (!(stopped == rhs.stopped))
       return false;
+    if (!(teams_digest == rhs.teams_digest))
+      return false;
+    if (!(team_tasks == rhs.team_tasks))
+      return false;
     return true;
   }
   bool operator != (const WireHeartbeat &rhs) const {
--- a/peers/instance/instance_codec.cc
+++ b/peers/instance/instance_codec.cc
@@ -159,6 +159,8 @@
   out.leaving = it.leaving;
   out.stopped = it.stopped;
   out.service_demands = ToWireDemands(it.service_demands);
+  out.teams_digest = static_cast<int32_t>(it.teams_digest);
+  out.team_tasks.assign(it.team_tasks.begin(), it.team_tasks.end());
   out.team_demands = ToWireDemands(it.team_demands);
   out.echo_incarnation = static_cast<int64_t>(it.echo_incarnation.value);
   out.echo_sequence = static_cast<int64_t>(it.echo_sequence);
@@ -255,6 +257,8 @@
   out.leaving = in.leaving;
   out.stopped = in.stopped;
   out.service_demands = FromWireDemands(in.service_demands);
+  out.teams_digest = static_cast<uint32_t>(in.teams_digest);
+  out.team_tasks.assign(in.team_tasks.begin(), in.team_tasks.end());
   out.team_demands = FromWireDemands(in.team_demands);
   out.echo_incarnation =
       Incarnation{static_cast<uint64_t>(in.echo_incarnation)};
--- a/servers/dispatcher/membership_flow.cc
+++ b/servers/dispatcher/membership_flow.cc
@@ -214,7 +214,7 @@
     PeerMessage message;
     message.from = dispatcher.self;
     auto heartbeat = MakeHeartbeat(dispatcher, peer, demands);
-    PutQuotaReport(reports, peer.incarnation, heartbeat);
+    PutQuotaReport(dispatcher, reports, peer, heartbeat);
     if (peer.zone == dispatcher.settings.zone) {
       heartbeat.verdicts = verdicts;
     }
--- a/servers/dispatcher/peer_messages.h
+++ b/servers/dispatcher/peer_messages.h
@@ -42,6 +42,10 @@
   bool stopped = false;  // the last one: the sender starts and answers nothing
                          // any more
   std::vector<Demand> service_demands;
+  // Demands of the teams: in the order of the sender's configuration when the
+  // receiver knows the same teams, else by name.
+  uint32_t teams_digest = 0;  // of the names of all teams, in order
+  std::vector<uint32_t> team_tasks;
   std::vector<Demand> team_demands;
   // Quotas: the roster that the sender promised, whether it uses its part of
   // it, and what it lends to the receiver.
--- a/servers/dispatcher/quota_flow.cc
+++ b/servers/dispatcher/quota_flow.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "servers/dispatcher/task_settlement.h"
+#include "servers/dispatcher/team_demands.h"
 
 namespace boragecroft {
 namespace {
@@ -155,19 +156,21 @@
                      dispatcher.quota_state, step.now.boot);
 }
 
-auto PutQuotaReport(const std::vector<AddressedReport>& reports,
-                    Incarnation receiver,
+auto PutQuotaReport(const Dispatcher& dispatcher,
+                    const std::vector<AddressedReport>& reports,
+                    const PeerInstance& receiver,
                     Heartbeat& heartbeat) -> void {
   const auto it = std::find_if(reports.begin(), reports.end(),
                                [&](const AddressedReport& report) {
-                                 return report.receiver == receiver;
+                                 return report.receiver == receiver.incarnation;
                                });
   if (it == reports.end()) {
     return;
   }
   heartbeat.roster_digest = it->report.roster_digest;
   heartbeat.quota_claims = it->report.claims;
-  heartbeat.team_demands = ToDemands(it->report.demands);
+  PutTeamDemands(*InForce(dispatcher), it->report.demands,
+                 receiver.teams_digest, heartbeat);
   heartbeat.quota_leases = ToDemands(it->report.leased);
 }
 
@@ -175,14 +178,15 @@
                      const PeerInstance& peer,
                      const Heartbeat& heartbeat) -> void {
   auto& dispatcher = step.dispatcher;
-  if (peer.zone != dispatcher.settings.zone) {
+  const auto* configuration = InForce(dispatcher);
+  if (peer.zone != dispatcher.settings.zone || configuration == nullptr) {
     return;
   }
   QuotaReport report;
   report.sender = peer.incarnation;
   report.roster_digest = heartbeat.roster_digest;
   report.claims = heartbeat.quota_claims;
-  report.demands = ToTeamTasks(heartbeat.team_demands);
+  report.demands = TakeTeamDemands(*configuration, heartbeat);
   report.leased = ToTeamTasks(heartbeat.quota_leases);
   TakeReport(QuotaTimes(), dispatcher.quota_state, report, peer.echoed_sent,
              step.now.boot);
--- a/servers/dispatcher/quota_flow.h
+++ b/servers/dispatcher/quota_flow.h
@@ -24,8 +24,9 @@
 // The reports for the zone's instances, one each; notes the leases that they
 // grant.
 auto MakeQuotaReports(Step& step) -> std::vector<AddressedReport>;
-auto PutQuotaReport(const std::vector<AddressedReport>& reports,
-                    Incarnation receiver,
+auto PutQuotaReport(const Dispatcher& dispatcher,
+                    const std::vector<AddressedReport>& reports,
+                    const PeerInstance& receiver,
                     Heartbeat& heartbeat) -> void;
 auto TakeQuotaReport(Step& step,
                      const PeerInstance& peer,
--- a/servers/membership/membership.cc
+++ b/servers/membership/membership.cc
@@ -178,7 +178,7 @@
   }
   peer.configuration_version = heartbeat.configuration_version;
   peer.service_demands = heartbeat.service_demands;
-  peer.team_demands = heartbeat.team_demands;
+  peer.teams_digest = heartbeat.teams_digest;
   if (heartbeat.echo_incarnation == membership.self &&
       heartbeat.echo_sequence > peer.echoed_sequence) {
     NoteEcho(peer, heartbeat.echo_sequence, now);
--- a/servers/membership/membership.h
+++ b/servers/membership/membership.h
@@ -57,7 +57,7 @@
   Instant echoed_sent;  // when the newest confirmed one was sent
   uint64_t configuration_version = 0;
   std::vector<Demand> service_demands;
-  std::vector<Demand> team_demands;
+  uint32_t teams_digest = 0;  // of the teams that it knows
 };
 
 // An incarnation that said that it has stopped, or that a newer one replaced at
--- a/tests/peers/instance/instance_codec_fuzz_test.cc
+++ b/tests/peers/instance/instance_codec_fuzz_test.cc
@@ -19,6 +19,8 @@
   heartbeat.address = Address{.ip = "10.20.1.11", .port = 8081};
   heartbeat.sequence = 12;
   heartbeat.service_demands = {{.name = "cartas", .tasks = 30}};
+  heartbeat.teams_digest = 0xFEDCBA98;
+  heartbeat.team_tasks = {7, 0, 300};
   heartbeat.quota_leases = {{.name = "banks", .tasks = 4}};
   return heartbeat;
 }
--- /dev/null
+++ b/tests/servers/dispatcher/team_demands_test.cc
@@ -0,0 +1,60 @@
+#include "servers/dispatcher/team_demands.h"
+
+#include <gtest/gtest.h>
+
+namespace boragecroft {
+namespace {
+
+auto WithTeams(const std::vector<std::string>& names) -> Configuration {
+  Configuration configuration;
+  for (const auto& it : names) {
+    configuration.teams.push_back(TeamDeclaration{.name = it});
+  }
+  return configuration;
+}
+
+struct DemandsOfTeams : testing::Test {
+  Configuration sender = WithTeams({"banks", "portal", "utilities"});
+  std::vector<TeamTasks> demands = {{.team = "banks", .tasks = 7},
+                                    {.team = "utilities", .tasks = 300}};
+
+  auto SentTo(uint32_t receiver_digest) const -> Heartbeat {
+    Heartbeat heartbeat;
+    PutTeamDemands(sender, demands, receiver_digest, heartbeat);
+    return heartbeat;
+  }
+
+  static auto Tasks(const std::vector<TeamTasks>& demands,
+                    const std::string& team) -> uint32_t {
+    for (const auto& it : demands) {
+      if (it.team == team) {
+        return it.tasks;
+      }
+    }
+    return 0;
+  }
+};
+
+TEST_F(DemandsOfTeams, TravelAsNumbersBetweenInstancesThatKnowTheSameTeams) {
+  const auto heartbeat = SentTo(TeamsDigest(sender));
+  EXPECT_TRUE(heartbeat.team_demands.empty());
+  const auto taken = TakeTeamDemands(sender, heartbeat);
+  EXPECT_EQ(Tasks(taken, "banks"), 7U);
+  EXPECT_EQ(Tasks(taken, "portal"), 0U);
+  EXPECT_EQ(Tasks(taken, "utilities"), 300U);
+}
+
+TEST_F(DemandsOfTeams, TravelByNameToAnInstanceThatKnowsOthers) {
+  const auto receiver = WithTeams({"utilities", "banks"});
+  const auto taken = TakeTeamDemands(receiver, SentTo(TeamsDigest(receiver)));
+  EXPECT_EQ(Tasks(taken, "banks"), 7U);
+  EXPECT_EQ(Tasks(taken, "utilities"), 300U);
+}
+
+TEST_F(DemandsOfTeams, AreNeverTakenForThoseOfOtherTeams) {
+  const auto receiver = WithTeams({"utilities", "portal", "banks"});
+  EXPECT_TRUE(TakeTeamDemands(receiver, SentTo(TeamsDigest(sender))).empty());
+}
+
+}  // namespace
+}  // namespace boragecroft
