End lookups through instances that named each other

Cause: two instances of a zone that stop at the same time name each other as successor, since neither has heard yet that the other is leaving. A lookup of an unused id of theirs then goes from one closed ledger to the other without end: the caller never gets an answer, and each such id reads the table as fast as it answers. ThreeInstances.TwoThatStopAndNameEachOtherLeaveNoLookupWithoutEnd failed first: no answer in 8 s.

A lookup carries the ledgers that led to it; one that comes round is refused as "draining" for good. That is true: all of them are closed without an entry of the id, and none that could take it is left. Ruled out: refusing to name an instance that may be leaving. It can't be known in time.

--- a/bench/failures/trouble.cc
+++ b/bench/failures/trouble.cc
@@ -3,6 +3,7 @@
 #include <signal.h>
 
 #include <array>
+#include <iostream>
 #include <thread>
 #include <utility>
 
@@ -69,7 +70,10 @@
     if (busy_.contains(i) || process.IsRunning()) {
       continue;
     }
-    const auto deposed = process.Wait(milliseconds(0)) == kDeposedExitCode;
+    const auto code = process.Wait(milliseconds(0)).value_or(-1);
+    const auto deposed = code == kDeposedExitCode;
+    std::cout << "  " + NameOf(i) + " ended by itself, exit code " +
+                     std::to_string(code) + "\n";
     faults_ += deposed ? 0 : 1;
     ++counts_[deposed ? "deposed" : "crashed"];
     cluster_.Restart(i, false);
--- a/servers/dispatcher/owner_routing.h
+++ b/servers/dispatcher/owner_routing.h
@@ -20,8 +20,11 @@
 auto LookUp(Step& step, CallerRequest request) -> void;
 
 // The same from the ledger of a given incarnation: the id's own, or a
-// successor.
-auto LookUpIn(Step& step, Incarnation ledger, CallerRequest request) -> void;
+// successor. `passed` are the ledgers that led to it.
+auto LookUpIn(Step& step,
+              Incarnation ledger,
+              CallerRequest request,
+              std::vector<Incarnation> passed = {}) -> void;
 
 // Sends a request to a peer and waits for its reply.
 auto RelayTo(Step& step, const PeerInstance& owner, CallerRequest request)
--- a/servers/dispatcher/record_lookup.cc
+++ b/servers/dispatcher/record_lookup.cc
@@ -95,6 +95,8 @@
 auto PassToSuccessor(Step& step, const JobId& id, Incarnation successor)
     -> void {
   auto& dispatcher = step.dispatcher;
+  auto passed = dispatcher.lookups.at(id).passed;
+  passed.push_back(dispatcher.lookups.at(id).ledger);
   auto waiting = TakeWaiting(step, id);
   if (successor == dispatcher.self) {
     dispatcher.adopted.try_emplace(id.incarnation);
@@ -111,7 +113,7 @@
     } else {
       // The successor may be gone, too: then its own ledger says what became of
       // the id.
-      LookUpIn(step, successor, std::move(it));
+      LookUpIn(step, successor, std::move(it), passed);
     }
   }
 }
@@ -125,6 +127,18 @@
   const auto answer = own && !lookup.unreadable
                           ? DeriveOwnerAnswer(lookup.record)
                           : AnswerOf(lookup);
+  const auto& passed = step.dispatcher.lookups.at(id).passed;
+  if (answer.kind == AnswerKind::kSuccessor && answer.successor &&
+      std::find(passed.begin(), passed.end(), *answer.successor) !=
+          passed.end()) {
+    // Instances that stopped together named each other: nobody took the id, and
+    // nobody is left who may.
+    for (const auto& it : TakeWaiting(step, id)) {
+      ReplyRefused(step, it.reply_to, Refusal::kDraining,
+                   "the instances that could take this id have stopped", {});
+    }
+    return;
+  }
   if (answer.kind == AnswerKind::kSuccessor && answer.successor) {
     PassToSuccessor(step, id, *answer.successor);
     return;
@@ -256,7 +270,10 @@
            std::move(request));
 }
 
-auto LookUpIn(Step& step, Incarnation ledger, CallerRequest request) -> void {
+auto LookUpIn(Step& step,
+              Incarnation ledger,
+              CallerRequest request,
+              std::vector<Incarnation> passed) -> void {
   auto& dispatcher = step.dispatcher;
   const auto id = IdOf(request.call);
   const auto found = dispatcher.lookups.find(id);
@@ -273,6 +290,7 @@
   OpenLookup open;
   open.id = id;
   open.ledger = ledger;
+  open.passed = std::move(passed);
   open.started = step.now.boot;
   open.waiting.push_back(std::move(request));
   dispatcher.lookups.emplace(id, std::move(open));
--- a/servers/dispatcher/state.h
+++ b/servers/dispatcher/state.h
@@ -136,6 +136,7 @@
 struct OpenLookup {
   JobId id;
   Incarnation ledger;
+  std::vector<Incarnation> passed;  // closed ledgers that named a successor
   Instant started;
   std::optional<Lookup> lookup;
   std::vector<CallerRequest> waiting;
--- a/tests/servers/dispatcher/faults_test.cc
+++ b/tests/servers/dispatcher/faults_test.cc
@@ -64,6 +64,20 @@
   EXPECT_EQ(TotalStarts(ran, 2), 2U);
 }
 
+TEST_F(ThreeInstances, TwoThatStopAndNameEachOtherLeaveNoLookupWithoutEnd) {
+  const auto id = FetchId(*fleet, 1).value();
+  Elapse(*fleet, seconds(1));
+  for (size_t i = 1; i < 3; ++i) {
+    RequestClose(fleet->nodes[i].dispatcher->ledger,
+                 fleet->nodes[3 - i].dispatcher->self);
+    Drain(*fleet, i);
+  }
+  Elapse(*fleet, seconds(8));
+  const auto asked = Submit(*fleet, 0, MakeJob(id, 2));
+  Elapse(*fleet, seconds(8));
+  EXPECT_EQ(StateTold(*fleet, asked), JobState::kRefused);
+}
+
 // The owner refuses an id that outlived its term, then stops, and the id is
 // submitted to its successor, whose clock may differ.
 struct AnIdThatItsOwnerCalledExpired : ThreeInstances {
