--- /dev/null
+++ b/tests/servers/dispatcher/planned_stop_test.cc
@@ -0,0 +1,98 @@
+// What becomes of ids and jobs when an instance stops as planned.
+#include "tests/servers/dispatcher/three_instances.h"
+
+namespace boragecroft {
+namespace {
+
+struct AfterAPlannedStop : ThreeInstances {
+  JobId ran;
+  JobId unused;
+
+  auto SetUp() -> void override {
+    ran = FetchId(*fleet, 2).value();
+    unused = FetchId(*fleet, 2).value();
+    Submit(*fleet, 2, MakeJob(ran, 2));
+    Elapse(*fleet, seconds(3));
+    Drain(*fleet, 2);
+    Elapse(*fleet, seconds(8));
+    ASSERT_EQ(fleet->nodes[2].dispatcher, nullptr);
+  }
+};
+
+TEST_F(AfterAPlannedStop, AnUnusedIdRunsOnceThroughAnotherInstance) {
+  const auto here = Submit(*fleet, 0, MakeJob(unused, 2));
+  const auto there = Submit(*fleet, 1, MakeJob(unused, 2));
+  Elapse(*fleet, seconds(5));
+  EXPECT_EQ(StateTold(*fleet, here), JobState::kDone);
+  EXPECT_EQ(StateTold(*fleet, there), JobState::kDone);
+}
+
+TEST_F(AfterAPlannedStop, AJobThatRanIsNotStartedAgainBesideAnAdoptedId) {
+  Submit(*fleet, 0, MakeJob(unused, 2));
+  Elapse(*fleet, seconds(5));
+  const auto here = Submit(*fleet, 0, MakeJob(ran, 2));
+  const auto there = Submit(*fleet, 1, MakeJob(ran, 2));
+  Elapse(*fleet, seconds(5));
+  EXPECT_EQ(StateTold(*fleet, here), JobState::kDone);
+  EXPECT_EQ(StateTold(*fleet, there), JobState::kDone);
+  EXPECT_EQ(TotalStarts(ran, 2), 2U);
+}
+
+TEST_F(AfterAPlannedStop, AnIdOfAnotherPartnerIsRefusedEverywhere) {
+  auto job = MakeJob(unused, 2);
+  job->partner = "cobros";
+  ExpectRefused(job, Refusal::kWrongPartner);
+  EXPECT_EQ(TotalStarts(unused, 2), 0U);
+}
+
+TEST_F(AfterAPlannedStop, AnIdThatWasNeverMintedIsRefusedEverywhere) {
+  auto next = unused;
+  ++next.sequence;
+  auto elsewhen = unused;
+  elsewhen.minted += milliseconds(1);
+  for (const auto& it : {next, elsewhen}) {
+    ExpectRefused(MakeJob(it, 2), Refusal::kIdNotMinted);
+    EXPECT_EQ(TotalStarts(it, 2), 0U);
+  }
+}
+
+struct AStopInAnOutage : ThreeInstances {
+  JobId ran;
+
+  auto SetUp() -> void override {
+    ran = FetchId(*fleet, 2).value();
+    fleet->platform_down = true;
+    const auto asked = Submit(*fleet, 2, MakeJob(ran, 2, "reminders"));
+    Elapse(*fleet, seconds(3));
+    ASSERT_EQ(StateTold(*fleet, asked), JobState::kDone);
+    Drain(*fleet, 2);
+    Elapse(*fleet, seconds(60));
+  }
+};
+
+TEST_F(AStopInAnOutage, OthersAnswerWhatTheStoppedInstanceAnswered) {
+  fleet->platform_down = false;
+  Elapse(*fleet, seconds(8));
+  ASSERT_EQ(fleet->nodes[2].dispatcher, nullptr);
+  Boot(*fleet, 2);
+  Elapse(*fleet, seconds(5));
+  const auto again = Fetch(*fleet, 0, ran);
+  Elapse(*fleet, seconds(5));
+  EXPECT_EQ(StateTold(*fleet, again), JobState::kDone);
+}
+
+TEST_F(AStopInAnOutage, ItAnswersForItsIdsUntilItsRecordsAreWritten) {
+  const auto again = Fetch(*fleet, 0, ran);
+  Elapse(*fleet, seconds(1));
+  EXPECT_EQ(StateTold(*fleet, again), JobState::kDone);
+}
+
+TEST_F(ThreeInstances, AnInstanceThatGaveNoIdStopsInAnOutage) {
+  fleet->platform_down = true;
+  Drain(*fleet, 2);
+  Elapse(*fleet, seconds(40));
+  EXPECT_EQ(fleet->nodes[2].dispatcher, nullptr);
+}
+
+}  // namespace
+}  // namespace boragecroft
--- /dev/null
+++ b/tests/servers/dispatcher/refusals_test.cc
@@ -0,0 +1,152 @@
+// A refusal holds, whoever is asked and whatever happens in between.
+#include "tests/servers/dispatcher/three_instances.h"
+
+namespace boragecroft {
+namespace {
+
+// In progress, ended, and known only from the records.
+TEST_F(ThreeInstances, AnotherBodyUnderAUsedIdIsRefused) {
+  const auto id = FetchId(*fleet, 2).value();
+  fleet->run_time = milliseconds(12000);
+  Submit(*fleet, 2, MakeJob(id, 2));
+  const auto other = MakeJob(id, 2);
+  other->payloads[1] = "\"other\"";
+  ExpectRefused(other, Refusal::kIdReused);
+  Elapse(*fleet, seconds(10));
+  ExpectRefused(other, Refusal::kIdReused);
+  Drain(*fleet, 2);
+  Elapse(*fleet, seconds(8));
+  ASSERT_EQ(fleet->nodes[2].dispatcher, nullptr);
+  ExpectRefused(other, Refusal::kIdReused);
+  // How urgent it is may be said anew.
+  const auto hastier = MakeJob(id, 2, "reminders");
+  hastier->deadline = milliseconds(1);
+  const auto told = Tell(0, hastier);
+  const auto* answer = std::get_if<AnswerReply>(&told);
+  ASSERT_NE(answer, nullptr);
+  EXPECT_EQ(answer->answer->state, JobState::kDone);
+}
+
+// The owner refuses an id that outlived its term, then stops, and the id is
+// submitted to its successor, whose clock may differ.
+struct AnIdThatItsOwnerCalledExpired : ThreeInstances {
+  JobId id;
+
+  auto SetUp() -> void override {
+    id = FetchId(*fleet, 2).value();
+    Elapse(*fleet, kIdTerm + milliseconds(100));
+    const auto refused = Submit(*fleet, 2, MakeJob(id, 2));
+    Drain(*fleet, 2);
+    Elapse(*fleet, seconds(8));
+    ASSERT_EQ(StateTold(*fleet, refused), JobState::kRefused);
+    ASSERT_EQ(fleet->nodes[2].dispatcher, nullptr);
+  }
+
+  auto SubmitToOthers() -> void {
+    const auto here = Submit(*fleet, 0, MakeJob(id, 2));
+    const auto there = Submit(*fleet, 1, MakeJob(id, 2));
+    Elapse(*fleet, seconds(5));
+    EXPECT_EQ(StateTold(*fleet, here), JobState::kRefused);
+    EXPECT_EQ(StateTold(*fleet, there), JobState::kRefused);
+    EXPECT_EQ(TotalStarts(id, 2), 0U);
+  }
+};
+
+TEST_F(AnIdThatItsOwnerCalledExpired, StaysSoWhenTheClockStepsBack) {
+  fleet->now.wall -= seconds(20);
+  SubmitToOthers();
+}
+
+TEST_F(AnIdThatItsOwnerCalledExpired, StaysSoOnASuccessorWhoseClockIsBehind) {
+  for (size_t i = 0; i < 2; ++i) {
+    fleet->nodes[i].dispatcher->mint.started.wall -= seconds(10);
+  }
+  SubmitToOthers();
+}
+
+TEST_F(ThreeInstances, ARefusalHoldsAfterTheOwnersDeath) {
+  const auto id = FetchId(*fleet, 2).value();
+  auto job = MakeJob(id, 1);
+  job->needs.accelerators = 99;
+  const auto refused = Submit(*fleet, 2, job);
+  Elapse(*fleet, seconds(2));
+  EXPECT_EQ(StateTold(*fleet, refused), JobState::kRefused);
+  Kill(*fleet, 2);
+  Boot(*fleet, 2);
+  Elapse(*fleet, seconds(5));
+  const auto again = Submit(*fleet, 0, job);
+  Elapse(*fleet, seconds(5));
+  EXPECT_EQ(StateTold(*fleet, again), JobState::kRefused);
+}
+
+TEST_F(ThreeInstances, AnExpiredIdStaysRefusedAfterTheOwnersDeath) {
+  const auto id = FetchId(*fleet, 2).value();
+  Elapse(*fleet, kIdTerm + seconds(1));
+  const auto refused = Submit(*fleet, 2, MakeJob(id, 1));
+  Elapse(*fleet, seconds(2));
+  EXPECT_EQ(StateTold(*fleet, refused), JobState::kRefused);
+  Kill(*fleet, 2);
+  Boot(*fleet, 2);
+  Elapse(*fleet, seconds(5));
+  const auto again = Fetch(*fleet, 0, id);
+  Elapse(*fleet, seconds(5));
+  EXPECT_EQ(StateTold(*fleet, again), JobState::kRefused);
+}
+
+// The caller may have gone on under a new id: a copy of the first request that
+// comes late must not start the work a second time.
+TEST_F(ThreeInstances, AnIdRefusedForItsDeadlineStaysRefused) {
+  // Run times are learned first.
+  Submit(*fleet, 0, MakeJob(FetchId(*fleet, 0).value(), 60));
+  Elapse(*fleet, seconds(20));
+  const auto id = FetchId(*fleet, 0).value();
+  const auto late = MakeJob(id, 2);
+  late->deadline = milliseconds(1);
+  ExpectRefused(late, Refusal::kDeadline);
+  ExpectRefused(MakeJob(id, 2), Refusal::kDeadline);
+  EXPECT_EQ(TotalStarts(id, 2), 0U);
+}
+
+// A ledger that is being closed takes no more refusals.
+TEST_F(ThreeInstances, AStoppingInstanceRefusesNoExpiredIdForGood) {
+  const auto id = FetchId(*fleet, 2).value();
+  Elapse(*fleet, kIdTerm + seconds(1));
+  fleet->platform_down = true;
+  Drain(*fleet, 2);
+  Elapse(*fleet, seconds(5));
+  Submit(*fleet, 2, MakeJob(id, 1));
+  Elapse(*fleet, seconds(1));
+  fleet->platform_down = false;
+  Elapse(*fleet, seconds(8));
+  ASSERT_EQ(fleet->nodes[2].dispatcher, nullptr);
+  Kill(*fleet, 0);
+  Boot(*fleet, 0);
+  Elapse(*fleet, seconds(5));
+  const auto again = Fetch(*fleet, 1, id);
+  Elapse(*fleet, seconds(5));
+  EXPECT_NE(StateTold(*fleet, again), JobState::kActive);
+}
+
+TEST_F(ThreeInstances, ACopyOfARefusedRelayStartsNothing) {
+  const auto id = FetchId(*fleet, 2).value();
+  const auto relay =
+      [this,
+       request = RelayRequest{
+           .number = 7, .call = SubmitRequest{.submission = MakeJob(id, 1)}}] {
+        Deliver(*fleet, 2, {}, [this, request](Step& step) {
+          OnPeerMessage(step, {.from = fleet->nodes[0].dispatcher->self,
+                               .body = request});
+        });
+      };
+  for (auto& it : fleet->nodes[2].dispatcher->fleet.workers) {
+    it.allotted_slots = 0;
+  }
+  relay();
+  Elapse(*fleet, seconds(1));
+  relay();
+  Elapse(*fleet, seconds(1));
+  EXPECT_EQ(TotalStarts(id, 1), 0U);
+}
+
+}  // namespace
+}  // namespace boragecroft
