Name the endpoint's process in the scenarios' straight requests

Ruled out: a slower path (done, refused and wasted counts did not change). Now they name the process, and a straight request that is not served ends the run with an error. The idle time of `scripts/bench path` is measured for 20 s: 3 s resolved a third of a percent of a core only.

--- a/bench/path/main.cc
+++ b/bench/path/main.cc
@@ -225,6 +225,7 @@
 auto MeasureOne(const Reporter& reporter) -> void {
   constexpr int kWorkers = 8;
   constexpr milliseconds kTaskRun{20};
+  constexpr seconds kIdle{20};
   constexpr double kHalf =
       kWorkers * kSlots * 1000.0 / kTaskRun.count() * 50 / kFullPercent;
   lab::Cluster cluster(MakeCluster(1, 1, kWorkers));
@@ -234,10 +235,10 @@
   const auto pid = cluster.Instances()[0].process->Pid();
   PrintFigure(reporter, "memory_at_start", Megabytes(pid), "MB");
   const auto before = ProcessorTime(pid);
-  std::this_thread::sleep_for(seconds(3));
+  std::this_thread::sleep_for(kIdle);
   PrintFigure(reporter, "idle_cpu",
               static_cast<double>((ProcessorTime(pid) - before).count()) /
-                  seconds(3).count() / 1e4,
+                  static_cast<double>(kIdle.count()) / 1e4,
               "% of a core");
   MeasureAdded(run, "light", 0, kTaskRun);
   MeasureAdded(run, "half", kHalf, kTaskRun);
--- a/bench/scenarios/fleet_run.cc
+++ b/bench/scenarios/fleet_run.cc
@@ -47,13 +47,19 @@
         ParseAddress(worker.at("address").as_string().c_str()).value();
     request.target = "/v1/tasks";
     request.body = R"({"schema_version":1,"task":"leg-)" + std::to_string(i) +
-                   R"(/0","service":")" + deployment.service +
+                   R"(/0","incarnation":")" +
+                   worker.at("incarnation").as_string().c_str() +
+                   R"(","service":")" + deployment.service +
                    R"(","kind":"leg","lease_ms":5000,"payload":{"run_ms":)" +
                    std::to_string(kRun.count()) + "}}";
     plan.push_back(std::move(request));
   }
   std::vector<double> legs;
   for (const auto& it : RunLoad(plan, LoadOptions())) {
+    if (it.state != "done") {
+      throw std::runtime_error(
+          "a straight request was not served: " + it.state + " " + it.detail);
+    }
     legs.push_back(static_cast<double>((it.ended - it.sent - kRun).count()));
   }
   return microseconds(static_cast<int64_t>(Percentile(legs, 0.5)));
