--- a/main/daemon/dispatcher_thread.cc
+++ b/main/daemon/dispatcher_thread.cc
@@ -125,8 +125,7 @@
   const auto next = MakeCallerView(*dispatcher_, ReadClocks());
   const auto current = view_.load();
   const auto same = current->configuration == next->configuration &&
-                    current->ready == next->ready &&
-                    current->accepting == next->accepting;
+                    current->ready == next->ready;
   if (!same) {
     view_.store(next);
   }
--- a/servers/dispatcher/caller_view.h
+++ b/servers/dispatcher/caller_view.h
@@ -14,8 +14,6 @@
   std::shared_ptr<const Configuration>
       configuration;   // null until one is in force
   bool ready = false;  // may be offered by the balancer
-  bool accepting =
-      true;  // false: this instance is stopping and takes no new submissions
 };
 
 // Holds the current view; any thread may load it.
--- a/servers/dispatcher/dispatcher.cc
+++ b/servers/dispatcher/dispatcher.cc
@@ -165,9 +165,8 @@
     view->configuration = std::shared_ptr<const Configuration>(
         in_force, &in_force->configuration);
   }
-  view->accepting =
-      dispatcher.drain < DrainPhase::kFinishing && !dispatcher.deposed;
-  view->ready = view->accepting && dispatcher.drain == DrainPhase::kServing &&
+  view->ready = !dispatcher.deposed &&
+                dispatcher.drain == DrainPhase::kServing &&
                 !dispatcher.membership.leaving_by_list &&
                 ReadyToServe(dispatcher.configuration, now) &&
                 HasSlots(dispatcher.fleet) &&
