--- a/servers/dispatcher/dispatcher.cc
+++ b/servers/dispatcher/dispatcher.cc
@@ -165,12 +165,11 @@
     view->configuration = std::shared_ptr<const Configuration>(
         in_force, &in_force->configuration);
   }
-  view->ready = !dispatcher.deposed &&
-                dispatcher.drain == DrainPhase::kServing &&
-                !dispatcher.membership.leaving_by_list &&
-                ReadyToServe(dispatcher.configuration, now) &&
-                HasSlots(dispatcher.fleet) &&
-                MayServeQuotas(dispatcher, now.boot);
+  view->ready =
+      !dispatcher.deposed && dispatcher.drain == DrainPhase::kServing &&
+      !dispatcher.membership.leaving_by_list &&
+      ReadyToServe(dispatcher.configuration, now) &&
+      HasSlots(dispatcher.fleet) && MayServeQuotas(dispatcher, now.boot);
   return view;
 }
 
