--- /dev/null
+++ b/bench/replay/account.h
@@ -0,0 +1,54 @@
+// Credit earned of credit owed, as callers see a played day: in all, by kind,
+// by zone and in the worst seconds.
+#ifndef BENCH_REPLAY_ACCOUNT_H_
+#define BENCH_REPLAY_ACCOUNT_H_
+
+#include <vector>
+
+#include "bench/replay/world.h"
+
+namespace boragecroft::bench {
+
+// Answers up to this many objectives late earn kLateWorth of the credit.
+inline constexpr int kLateObjectives = 3;
+inline constexpr double kLateWorth = 0.2;
+
+// What each job of a day earned, 0 to its worth.
+using Credits = std::vector<double>;
+
+struct CreditShares {
+  double day = 0;
+  double worst_kind = 0;
+  double worst_zone = 0;
+  double worst_window = 0;  // mean of the two worst spans of two seconds
+  double bursts = 0;        // jobs that arrive during a burst
+  double steady = 0;        // all others
+  double mark = 0;          // weighed as the users do
+  std::vector<double> kinds;
+  std::vector<double> zones;
+  double largest = 0;  // the largest tenth of the longest kind
+};
+
+struct Account {
+  CreditShares shares;
+  double refused = 0;  // shares of the jobs owed
+  double late = 0;
+  double lost = 0;          // neither answered in time, late nor refused
+  double refused_late = 0;  // after a quarter of the objective
+  double refusal_p50_ms = 0;
+  double wasted_core_s = 0;
+  // Of the refused jobs that came back: the share served in time.
+  double returned_in_time = 0;
+  uint64_t returned = 0;
+};
+
+auto CreditsOf(const Day& day, const Played& played) -> Credits;
+auto SharesOf(const Day& day, const Credits& credits) -> CreditShares;
+auto AccountOf(const Day& day, const Played& played) -> Account;
+
+// The mean of several days.
+auto MeanOf(const std::vector<Account>& accounts) -> Account;
+
+}  // namespace boragecroft::bench
+
+#endif  // BENCH_REPLAY_ACCOUNT_H_
--- /dev/null
+++ b/bench/replay/main.cc
@@ -0,0 +1,249 @@
+// scripts/bench replay: plays drawn days of load on the scheduling decisions
+// and prints, policy by policy, what callers got of what they were owed.
+#include <tclap/CmdLine.h>
+
+#include <atomic>
+#include <cstdio>
+#include <functional>
+#include <iostream>
+#include <thread>
+
+#include "bench/load/report.h"
+#include "bench/replay/account.h"
+#include "bench/replay/bound.h"
+#include "bench/replay/policies.h"
+#include "bench/replay/world.h"
+
+namespace boragecroft::bench {
+namespace {
+
+struct Arguments {
+  std::vector<std::string> shapes;
+  std::vector<std::string> policies;
+  std::string layout;
+  std::string returns;
+  uint64_t days = 0;
+  uint64_t seed = 0;
+  unsigned jobs = 0;
+  bool bound = false;
+  bool sound = false;  // no worker gets into trouble
+  bool exact = false;  // declared run times are right
+  std::string command;
+};
+
+struct Row {
+  std::string shape;
+  std::string policy;  // "bound": the plan with full knowledge
+  std::vector<Account> accounts;
+  std::vector<double> missed;  // share of the credit, with --bound
+};
+
+auto LayoutOf(const std::string& name) -> GroupLayout {
+  if (name == "instance") {
+    return GroupLayout::kInstance;
+  }
+  return name == "site" ? GroupLayout::kSite : GroupLayout::kZone;
+}
+
+auto HabitOf(const std::string& name) -> ReturnHabit {
+  if (name == "told") {
+    return ReturnHabit::kAsTold;
+  }
+  return name == "random" ? ReturnHabit::kAtRandom : ReturnHabit::kNever;
+}
+
+auto PlayOne(const Arguments& arguments, const Day& day, Row& row, size_t n)
+    -> void {
+  if (row.policy == "bound") {
+    row.accounts[n].shares = SharesOf(day, BoundOf(day));
+    return;
+  }
+  ReplayOptions options;
+  options.policy = *PolicyOf(row.policy, day.shape);
+  options.layout = LayoutOf(arguments.layout);
+  options.returns = HabitOf(arguments.returns);
+  const auto played = PlayDay(day, options);
+  row.accounts[n] = AccountOf(day, played);
+  row.missed[n] = arguments.bound ? MissedShare(day, played) : 0;
+}
+
+auto DayOf(const Arguments& arguments, const Row& row, size_t n) -> Day {
+  auto shape = ShapeOf(row.shape);
+  if (arguments.sound) {
+    shape.spells.clear();
+  }
+  if (arguments.exact) {
+    shape.declared_spread = 0;
+  }
+  return DrawDay(shape, arguments.seed + n);
+}
+
+// Plays every row on every day, `jobs` at a time.
+auto PlayAll(const Arguments& arguments, std::vector<Row>& rows) -> void {
+  std::atomic<size_t> next{0};
+  const auto work = [&] {
+    for (auto i = next++; i < rows.size() * arguments.days; i = next++) {
+      auto& row = rows[i / arguments.days];
+      const auto n = i % arguments.days;
+      PlayOne(arguments, DayOf(arguments, row, n), row, n);
+    }
+  };
+  std::vector<std::thread> threads;
+  for (unsigned i = 0; i < arguments.jobs; ++i) {
+    threads.emplace_back(work);
+  }
+  for (auto& it : threads) {
+    it.join();
+  }
+}
+
+auto PrintRow(const Arguments& arguments, const Row& row) -> void {
+  const Reporter reporter{
+      .bench = "replay", .seed = arguments.seed, .command = arguments.command};
+  const auto mean = MeanOf(row.accounts);
+  const auto prefix = row.shape + "." + row.policy + ".";
+  const auto print = [&](const char* name, double value, const char* unit) {
+    PrintFigure(reporter, prefix + name, value, unit);
+  };
+  const auto shape = ShapeOf(row.shape);
+  print("mark", mean.shares.mark, "of 1");
+  print("credit", mean.shares.day, "of owed");
+  print("steady", mean.shares.steady, "of owed");
+  print("bursts", mean.shares.bursts, "of owed");
+  print("worst_window", mean.shares.worst_window, "of owed");
+  print("largest", mean.shares.largest, "of owed");
+  for (size_t i = 0; i < shape.kinds.size(); ++i) {
+    print(shape.kinds[i].name.c_str(), mean.shares.kinds[i], "of owed");
+  }
+  for (size_t i = 0; i < shape.zones.size(); ++i) {
+    const auto zone = std::string("zone_").append(shape.zones[i].name);
+    print(zone.c_str(), mean.shares.zones[i], "of owed");
+  }
+  if (row.policy == "bound") {
+    return;
+  }
+  print("refused", mean.refused, "of jobs");
+  print("refused_late", mean.refused_late, "of jobs");
+  print("refusal_p50", mean.refusal_p50_ms, "ms");
+  print("late", mean.late, "of jobs");
+  print("lost", mean.lost, "of jobs");
+  print("wasted", mean.wasted_core_s, "core-s");
+  if (mean.returned > 0) {
+    print("returned", static_cast<double>(mean.returned), "jobs");
+    print("returned_in_time", mean.returned_in_time, "of jobs");
+  }
+  if (arguments.bound) {
+    double missed = 0;
+    for (const auto it : row.missed) {
+      missed += it / static_cast<double>(row.missed.size());
+    }
+    print("missed", missed, "of owed");
+  }
+}
+
+auto PrintTable(const std::vector<Row>& rows) -> void {
+  std::fprintf(stderr, "%-16s %-14s %6s %6s %6s %6s %6s %7s  %s\n", "load",
+               "policy", "mark", "credit", "steady", "bursts", "window",
+               "largest", "kinds");
+  for (const auto& row : rows) {
+    const auto mean = MeanOf(row.accounts).shares;
+    std::fprintf(stderr, "%-16s %-14s %6.3f %6.3f %6.3f %6.3f %6.3f %7.3f ",
+                 row.shape.c_str(), row.policy.c_str(), mean.mark, mean.day,
+                 mean.steady, mean.bursts, mean.worst_window, mean.largest);
+    for (const auto it : mean.kinds) {
+      std::fprintf(stderr, " %.3f", it);
+    }
+    std::fprintf(stderr, "\n");
+  }
+}
+
+auto MakeRows(const Arguments& arguments) -> std::vector<Row> {
+  std::vector<Row> rows;
+  auto policies = arguments.policies;
+  if (arguments.bound) {
+    policies.emplace_back("bound");
+  }
+  for (const auto& shape : arguments.shapes) {
+    for (const auto& policy : policies) {
+      rows.push_back(Row{.shape = shape,
+                         .policy = policy,
+                         .accounts = std::vector<Account>(arguments.days),
+                         .missed = std::vector<double>(arguments.days)});
+    }
+  }
+  return rows;
+}
+
+auto Parse(int argc, char** argv) -> Arguments {
+  TCLAP::CmdLine line("Replays drawn days of load on the scheduling decisions");
+  auto shapes = ShapeNames();
+  TCLAP::ValuesConstraint<std::string> known_shapes(shapes);
+  auto policies = PolicyNames();
+  TCLAP::ValuesConstraint<std::string> known_policies(policies);
+  std::vector<std::string> layouts{"zone", "instance", "site"};
+  TCLAP::ValuesConstraint<std::string> known_layouts(layouts);
+  std::vector<std::string> habits{"never", "told", "random"};
+  TCLAP::ValuesConstraint<std::string> known_habits(habits);
+  TCLAP::MultiArg<std::string> shape("", "load", "Load; default: all", false,
+                                     &known_shapes, line);
+  TCLAP::MultiArg<std::string> policy("", "policy", "Policy; default: all",
+                                      false, &known_policies, line);
+  TCLAP::ValueArg<std::string> layout("", "groups", "Who holds which workers",
+                                      false, "zone", &known_layouts, line);
+  TCLAP::ValueArg<std::string> returns("", "returns",
+                                       "When refused callers come back", false,
+                                       "never", &known_habits, line);
+  TCLAP::ValueArg<unsigned> days("", "days", "Days a load", false, 10, "count",
+                                 line);
+  TCLAP::ValueArg<uint64_t> seed("", "seed", "Seed of the first day", false, 1,
+                                 "number", line);
+  TCLAP::ValueArg<unsigned> jobs("", "jobs", "Days at a time", false, 4,
+                                 "count", line);
+  TCLAP::SwitchArg sound("", "sound", "No worker gets into trouble", line);
+  TCLAP::SwitchArg exact("", "exact", "Declared run times are right", line);
+  TCLAP::SwitchArg bound("", "bound", "Work out the upper bound, too", line);
+  line.parse(argc, argv);
+  Arguments out;
+  out.shapes = shape.isSet() ? shape.getValue() : shapes;
+  out.policies = policy.isSet() ? policy.getValue() : policies;
+  out.layout = layout.getValue();
+  out.returns = returns.getValue();
+  out.days = days.getValue();
+  out.seed = seed.getValue();
+  out.jobs = std::max(1U, jobs.getValue());
+  out.sound = sound.getValue();
+  out.exact = exact.getValue();
+  out.bound = bound.getValue();
+  out.command = "scripts/bench replay";
+  for (int i = 1; i < argc; ++i) {
+    out.command.append(" ").append(argv[i]);
+  }
+  return out;
+}
+
+auto Run(int argc, char** argv) -> int {
+  const auto arguments = Parse(argc, argv);
+  if (arguments.days == 0) {
+    std::cerr << "replay: --days must be at least 1\n";
+    return 2;
+  }
+  auto rows = MakeRows(arguments);
+  PlayAll(arguments, rows);
+  for (const auto& row : rows) {
+    PrintRow(arguments, row);
+  }
+  PrintTable(rows);
+  return 0;
+}
+
+}  // namespace
+}  // namespace boragecroft::bench
+
+auto main(int argc, char** argv) -> int {
+  try {
+    return boragecroft::bench::Run(argc, argv);
+  } catch (const std::exception& e) {
+    std::cerr << "replay: " << e.what() << "\n";
+    return 1;
+  }
+}
--- a/servers/scheduling/dispatching.cc
+++ b/servers/scheduling/dispatching.cc
@@ -1,7 +1,8 @@
 #include "servers/scheduling/dispatching.h"
 
 #include <algorithm>
-#include <tuple>
+
+#include "servers/scheduling/waiting.h"
 
 namespace boragecroft::detail {
 namespace {
@@ -11,40 +12,9 @@
 // While orders get lost: short tasks run about as long.
 constexpr milliseconds kShortHoldWait{50};
 constexpr milliseconds kLossyFor{5000};
-// This long after its taker has withdrawn a job from an earlier holder, nothing
-// of it runs: the holder notices a lost taker within 500 ms, grants it 200 ms,
-// and leases last 550 ms.
-constexpr milliseconds kBarrier{1300};
 // Until a refused job's return there is room again: the mean of a task's time.
 constexpr milliseconds kLeastRetryAfter{1000};
 
-auto HasWaitingTasks(const ScheduledJob& job) -> bool {
-  return !job.ended && job.done + job.in_progress < job.tasks.size();
-}
-
-// Load answered: bursts of wide jobs. Jobs that have begun go first: what they
-// ran is lost unless they end. Then the most urgent.
-auto OrderOf(const ScheduledJob& job) -> std::tuple<bool, Instant, JobName> {
-  return {job.uncertain == 0, job.times.refuse_at, job.offer.name};
-}
-
-auto WaitingJobs(Scheduler& state, Instant now) -> std::vector<ScheduledJob*> {
-  std::vector<ScheduledJob*> out;
-  const auto whole = IsFenceWhole(state);
-  for (auto& [name, job] : state.jobs) {
-    const auto held =
-        job.offer.may_run_elsewhere && !whole && now - job.offered < kBarrier;
-    if (HasWaitingTasks(job) && !held && job.orphaned == Instant()) {
-      out.push_back(&job);
-    }
-  }
-  std::sort(out.begin(), out.end(),
-            [](const ScheduledJob* a, const ScheduledJob* b) {
-              return OrderOf(*a) < OrderOf(*b);
-            });
-  return out;
-}
-
 auto StartTask(Scheduler& state,
                ScheduledJob& job,
                uint32_t index,
@@ -58,6 +28,7 @@
   ++job.in_progress;
   ++job.uncertain;
   ++state.counters.starts;
+  NoteRoomOf(state, job.offer.kind, RunTimeOf(state, job), now);
   const auto lease = NextLease(worker, now);
   worker.leased_until = std::max(worker.leased_until, lease);
   AddRun(worker, Run{.task = name,
@@ -145,7 +116,9 @@
                  const ScheduledJob& job,
                  const std::string& avoid,
                  Instant now) -> WorkerAccount* {
-  const PlacementRequest request{.service = job.offer.service,
+  const PlacementRequest request{.rule = state.policy.placement,
+                                 .turn = state.counters.starts,
+                                 .service = job.offer.service,
                                  .needs = job.offer.needs,
                                  .run_time = RunTimeOf(state, job),
                                  .arrived = job.times.arrived,
@@ -288,18 +261,4 @@
   return job.ended && job.in_progress == 0;
 }
 
-auto IsFenceWhole(const Scheduler& state) -> bool {
-  if (!state.workers_stable) {
-    return false;
-  }
-  return std::all_of(
-      state.workers.begin(), state.workers.end(), [](const auto& it) {
-        const auto& worker = it.second;
-        const auto foreign =
-            std::any_of(worker.runs.begin(), worker.runs.end(),
-                        [](const Run& run) { return run.foreign; });
-        return !worker.listed || (worker.fenced && !foreign);
-      });
-}
-
 }  // namespace boragecroft::detail
--- a/servers/scheduling/dispatching.h
+++ b/servers/scheduling/dispatching.h
@@ -46,8 +46,6 @@
                  Instant now) -> WorkerAccount*;
 // True when an ended job has nothing left that could run.
 auto IsOver(const ScheduledJob& job) -> bool;
-// True when no run of an earlier holder can be at work on any worker.
-auto IsFenceWhole(const Scheduler& state) -> bool;
 
 }  // namespace boragecroft::detail
 
--- a/servers/scheduling/placement.cc
+++ b/servers/scheduling/placement.cc
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <tuple>
+#include <vector>
+
+#include "core/base/random.h"
 
 namespace boragecroft {
 namespace {
@@ -87,6 +90,28 @@
   return fastest;
 }
 
+// The rules that look at room only, to compare with.
+auto PlaceByRoom(WorkerAccounts& workers, const PlacementRequest& request)
+    -> WorkerAccount* {
+  std::vector<WorkerAccount*> with_room;
+  for (auto& [id, worker] : workers) {
+    if (IsUsable(worker, request.service) &&
+        Fits(worker.entry.capacity, worker.used, request.needs)) {
+      with_room.push_back(&worker);
+    }
+  }
+  if (with_room.empty()) {
+    return nullptr;
+  }
+  const auto n = with_room.size();
+  if (request.rule == PlacementRule::kRoundRobin) {
+    return with_room[request.turn % n];
+  }
+  auto* a = with_room[MixHash(request.turn, 1) % n];
+  auto* b = with_room[MixHash(request.turn, 2) % n];
+  return a->used.cpu_millis <= b->used.cpu_millis ? a : b;
+}
+
 }  // namespace
 
 auto IsUsable(const WorkerAccount& worker, const std::string& service) -> bool {
@@ -104,6 +129,9 @@
                const RunTimes& times,
                const PlacementRequest& request,
                Instant now) -> WorkerAccount* {
+  if (request.rule != PlacementRule::kObjective) {
+    return PlaceByRoom(workers, request);
+  }
   const auto fastest = FastestSpeed(workers, times, request.service);
   const auto patient = IsPatient(request, now);
   WorkerAccount* best = nullptr;
--- a/servers/scheduling/placement.h
+++ b/servers/scheduling/placement.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <string>
 
+#include "servers/scheduling/policy.h"
 #include "servers/scheduling/run_times.h"
 #include "servers/scheduling/worker.h"
 
@@ -19,6 +20,9 @@
 using WorkerAccounts = std::map<std::string, WorkerAccount>;
 
 struct PlacementRequest {
+  PlacementRule rule = PlacementRule::kObjective;
+  uint64_t turn =
+      0;  // counts placements, for the rules that take turns or draw
   std::string service;
   Room needs;
   microseconds run_time{};  // on a worker of speed 1
--- a/servers/scheduling/scheduler.h
+++ b/servers/scheduling/scheduler.h
@@ -17,6 +17,7 @@
 #include "servers/scheduling/job.h"
 #include "servers/scheduling/objective.h"
 #include "servers/scheduling/placement.h"
+#include "servers/scheduling/policy.h"
 #include "servers/scheduling/run_times.h"
 #include "servers/scheduling/worker.h"
 
@@ -128,7 +129,14 @@
   uint64_t runs_overdue = 0;
 };
 
+// Room that a kind of job got lately, for the fair order.
+struct KindRoom {
+  double place_ms = 0;
+  Instant noted;
+};
+
 struct Scheduler {
+  SchedulingPolicy policy;
   uint64_t token = 0;    // first fencing token of this tenure
   Instant since;         // begin of this tenure
   bool leaving = false;  // takes no more jobs
@@ -142,6 +150,7 @@
   RunTimes run_times;
   Room usual_needs{.cpu_millis = 1000};  // of a task, from recent offers
   std::string usual_service;
+  std::unordered_map<std::string, KindRoom> kind_room;
   SchedulerCounters counters;
 };
 
--- /dev/null
+++ b/servers/scheduling/waiting.cc
@@ -0,0 +1,114 @@
+#include "servers/scheduling/waiting.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+#include "servers/scheduling/dispatching.h"
+
+namespace boragecroft::detail {
+namespace {
+
+// This long after its taker has withdrawn a job from an earlier holder, nothing
+// of it runs: the holder notices a lost taker within 500 ms, grants it 200 ms,
+// and leases last 550 ms.
+constexpr milliseconds kBarrier{1300};
+// Room that a kind got counts half as much after this time: as long as callers
+// wait.
+constexpr milliseconds kRoomHalfLife{1500};
+
+// Smaller is earlier.
+using Rank = std::tuple<double, Instant, JobName>;
+
+auto Milliseconds(microseconds time) -> double {
+  return std::chrono::duration<double, std::milli>(time).count();
+}
+
+auto RoomOf(const Scheduler& state, const std::string& kind, Instant now)
+    -> double {
+  const auto it = state.kind_room.find(kind);
+  if (it == state.kind_room.end()) {
+    return 0;
+  }
+  const auto halves =
+      Milliseconds(now - it->second.noted) / Milliseconds(kRoomHalfLife);
+  return it->second.place_ms * std::exp2(-halves);
+}
+
+auto DensityOf(const Scheduler& state, const ScheduledJob& job) -> double {
+  const auto it = state.policy.worth.find(job.offer.kind);
+  const auto worth = it == state.policy.worth.end() ? 1.0 : it->second;
+  return worth / (Milliseconds(RunTimeOf(state, job)) * job.offer.count);
+}
+
+auto RankOf(const Scheduler& state, const ScheduledJob& job, Instant now)
+    -> Rank {
+  const auto& name = job.offer.name;
+  switch (state.policy.order) {
+    case WaitingOrder::kArrival:
+      return {0, job.times.arrived, name};
+    case WaitingOrder::kLeastSlack:
+      return {0, job.times.objective - RunTimeOf(state, job), name};
+    case WaitingOrder::kDensity:
+      return {-DensityOf(state, job), job.times.refuse_at, name};
+    case WaitingOrder::kFair:
+      return {RoomOf(state, job.offer.kind, now), job.times.refuse_at, name};
+    case WaitingOrder::kUrgent:
+      break;
+  }
+  return {job.uncertain == 0 ? 1 : 0, job.times.refuse_at, name};
+}
+
+auto HasWaitingTasks(const ScheduledJob& job) -> bool {
+  return !job.ended && job.done + job.in_progress < job.tasks.size();
+}
+
+// True when no run of an earlier holder can be at work on any worker.
+auto IsFenceWhole(const Scheduler& state) -> bool {
+  if (!state.workers_stable) {
+    return false;
+  }
+  return std::all_of(
+      state.workers.begin(), state.workers.end(), [](const auto& it) {
+        const auto& worker = it.second;
+        const auto foreign =
+            std::any_of(worker.runs.begin(), worker.runs.end(),
+                        [](const Run& run) { return run.foreign; });
+        return !worker.listed || (worker.fenced && !foreign);
+      });
+}
+
+}  // namespace
+
+auto WaitingJobs(Scheduler& state, Instant now) -> std::vector<ScheduledJob*> {
+  std::vector<std::pair<Rank, ScheduledJob*>> ranked;
+  const auto whole = IsFenceWhole(state);
+  for (auto& [name, job] : state.jobs) {
+    const auto held =
+        job.offer.may_run_elsewhere && !whole && now - job.offered < kBarrier;
+    if (HasWaitingTasks(job) && !held && job.orphaned == Instant()) {
+      ranked.emplace_back(RankOf(state, job, now), &job);
+    }
+  }
+  std::sort(ranked.begin(), ranked.end());
+  std::vector<ScheduledJob*> out;
+  out.reserve(ranked.size());
+  for (const auto& [rank, job] : ranked) {
+    out.push_back(job);
+  }
+  return out;
+}
+
+auto NoteRoomOf(Scheduler& state,
+                const std::string& kind,
+                microseconds time,
+                Instant now) -> void {
+  if (state.policy.order != WaitingOrder::kFair) {
+    return;
+  }
+  const auto before = RoomOf(state, kind, now);
+  state.kind_room[kind] =
+      KindRoom{.place_ms = before + Milliseconds(time), .noted = now};
+}
+
+}  // namespace boragecroft::detail
--- a/servers/scheduling/worker_events.cc
+++ b/servers/scheduling/worker_events.cc
@@ -130,8 +130,10 @@
                  Instant now,
                  SchedulerCommands& out) -> void {
   auto counters = state.counters;
+  auto policy = std::move(state.policy);
   auto run_times = std::move(state.run_times);
   state = Scheduler();
+  state.policy = std::move(policy);
   state.counters = counters;
   state.run_times = std::move(run_times);
   state.token = token;
--- /dev/null
+++ b/tests/servers/scheduling/policy_test.cc
@@ -0,0 +1,90 @@
+// The orders and placements that a replay compares with the chosen ones.
+#include "servers/scheduling/policy.h"
+
+#include "tests/servers/scheduling/scheduler_story.h"
+
+namespace boragecroft {
+namespace {
+
+// A full worker before which a long job (3) has waited longest, then a short
+// one (2); the earlier refusal is the short one's.
+class ARivalPolicy : public SchedulerStory {
+ protected:
+  auto FirstStartUnder(const SchedulingPolicy& policy) -> JobName {
+    state.policy = policy;
+    Begin({MakeEntry("w1", 15'000)});
+    auto first = MakeOffer(1, 1);
+    first.run_estimate = milliseconds{20};
+    Offer(first);
+    Take<StartCommand>();
+    auto long_one = MakeOffer(3, 1);
+    long_one.kind = "demand";
+    long_one.run_estimate = milliseconds{400};
+    Offer(long_one);
+    now += milliseconds{1};
+    Offer(MakeOffer(2, 1));
+    now += milliseconds{15};
+    AnswerHold(Take<HoldCommand>().at(0), {},
+               {{1, {JobName{1}, 0}, 1, RunEnd::kDone}});
+    return Take<StartCommand>().at(0).task.job;
+  }
+};
+
+TEST_F(ARivalPolicy, TakesTheEarliestRefusalFirstUnlessToldOtherwise) {
+  EXPECT_EQ(FirstStartUnder({}), JobName{2});
+}
+
+TEST_F(ARivalPolicy, TakesTheFirstToCome) {
+  EXPECT_EQ(FirstStartUnder({.order = WaitingOrder::kArrival}), JobName{3});
+}
+
+TEST_F(ARivalPolicy, TakesTheOneWithTheLeastSlack) {
+  EXPECT_EQ(FirstStartUnder({.order = WaitingOrder::kLeastSlack}), JobName{2});
+}
+
+TEST_F(ARivalPolicy, TakesTheOneWorthMostForItsRoom) {
+  EXPECT_EQ(FirstStartUnder({.order = WaitingOrder::kDensity,
+                             .worth = {{"demand", 20}, {"reminder", 1}}}),
+            JobName{3});
+}
+
+TEST_F(ARivalPolicy, TakesTheKindThatGotTheLeastRoom) {
+  // Job 1 was of the same kind as job 2.
+  EXPECT_EQ(FirstStartUnder({.order = WaitingOrder::kFair}), JobName{3});
+}
+
+class ARivalPlacement : public SchedulerStory {
+ protected:
+  auto WorkersUnder(PlacementRule rule, uint32_t tasks)
+      -> std::vector<std::string> {
+    state.policy.placement = rule;
+    Begin({MakeEntry("w1", 60'000), MakeEntry("w2", 60'000),
+           MakeEntry("w3", 60'000)});
+    Offer(MakeOffer(1, tasks));
+    std::vector<std::string> ids;
+    for (const auto& it : Take<StartCommand>()) {
+      ids.push_back(it.target.worker);
+    }
+    return ids;
+  }
+};
+
+TEST_F(ARivalPlacement, TakesWorkersInTurn) {
+  const auto workers = WorkersUnder(PlacementRule::kRoundRobin, 3);
+  ASSERT_EQ(workers.size(), 3U);
+  EXPECT_NE(workers[0], workers[1]);
+  EXPECT_NE(workers[1], workers[2]);
+  EXPECT_NE(workers[0], workers[2]);
+}
+
+TEST_F(ARivalPlacement, DrawsTwoAndFillsAllRoomInTheEnd) {
+  EXPECT_EQ(WorkersUnder(PlacementRule::kTwoChoices, 12).size(), 12U);
+}
+
+TEST_F(ARivalPlacement, SurvivesANewTenure) {
+  WorkersUnder(PlacementRule::kRoundRobin, 1);
+  EXPECT_EQ(state.policy.placement, PlacementRule::kRoundRobin);
+}
+
+}  // namespace
+}  // namespace boragecroft
