Stop again what a silent worker left unanswered, and ask a worker again that refused for its health

Both stops had gone unanswered, nothing sent a third, and a run that is being stopped is never dropped from a list: its room stayed taken and the worker was held for ever. Read beside it: a worker that refused a start for its health and held nothing was never asked again, and NextDue stayed in the past.

Change: a stop that was given up is sent again with the first hold that is answered; an unreachable worker is held every 100 ms whether or not it has runs.

--- a/bench/replay/world.cc
+++ b/bench/replay/world.cc
@@ -19,6 +19,8 @@
 constexpr milliseconds kOrderLost{60};  // as platform/worker_client waits
 constexpr milliseconds kHoldLost{170};
 constexpr uint32_t kMaxAttempts = 3;
+// Returns, runs and leases are over this long after the last job.
+constexpr seconds kAfterDay{30};
 constexpr uint64_t kToken = kTokensOfTenure;
 
 struct ReplayedGroup {
@@ -433,7 +435,8 @@
   MakeInstances(world);
   MakeGroups(world);
   PlanDay(world);
-  while (Advance(world.agenda)) {
+  const auto end = world.agenda.now + day.shape.length + kAfterDay;
+  while (world.agenda.now < end && Advance(world.agenda)) {
   }
   for (const auto& it : world.workers) {
     world.played.wasted_core_ms += it.wasted_core_ms;
@@ -441,6 +444,9 @@
   }
   for (const auto& it : world.groups) {
     world.played.starts += it.scheduler.counters.starts;
+    for (const auto& [id, worker] : it.scheduler.workers) {
+      world.played.unsettled += static_cast<uint32_t>(worker.runs.size());
+    }
   }
   return std::move(world.played);
 }
--- a/bench/replay/world.h
+++ b/bench/replay/world.h
@@ -52,6 +52,8 @@
   double wasted_core_ms = 0;
   uint64_t starts = 0;
   uint32_t overfull = 0;
+  // Runs that a scheduler still counts long after the day: never expected.
+  uint32_t unsettled = 0;
 };
 
 auto PlayDay(const Day& day, const ReplayOptions& options) -> Played;
--- a/servers/scheduling/dispatching.cc
+++ b/servers/scheduling/dispatching.cc
@@ -149,7 +149,8 @@
                   Instant now,
                   SchedulerCommands& out) -> void {
   const auto unacked = worker.ended_seen > worker.ended_acked;
-  const auto asked = !worker.fenced || !worker.runs.empty() || unacked;
+  const auto asked =
+      !worker.fenced || !worker.reachable || !worker.runs.empty() || unacked;
   if (worker.hold_busy || !asked || !worker.listed) {
     return;
   }
--- a/servers/scheduling/worker_events.cc
+++ b/servers/scheduling/worker_events.cc
@@ -77,14 +77,20 @@
 }
 
 // Stops what the worker runs for jobs that have ended meanwhile, and for an
-// earlier holder.
+// earlier holder. Load answered: workers that were silent. A stop that was
+// given up is sent again once the worker answers: its room is not free before.
 auto StopLeftOver(Scheduler& state,
                   WorkerAccount& worker,
                   SchedulerCommands& out) -> void {
   for (auto& run : worker.runs) {
     const auto it = state.jobs.find(run.task.job);
     const auto over = run.foreign || it == state.jobs.end() || it->second.ended;
-    if (over && run.state == RunState::kRunning) {
+    const auto given_up =
+        run.state == RunState::kStopping && run.stops >= kMaxLostStops;
+    if (given_up) {
+      run.stops = 0;
+    }
+    if (given_up || (over && run.state == RunState::kRunning)) {
       detail::StopRun(state, worker, run, out);
     }
   }
--- a/tests/bench/replay/world_test.cc
+++ b/tests/bench/replay/world_test.cc
@@ -72,6 +72,17 @@
 }
 
 // Every policy and layout, on days of each load.
+TEST_F(AReplayedDay, SettlesEveryRunAfterASpellOfSilence) {
+  for (auto n = 0; n < 20; ++n) {
+    AddHandMadeJob(day, milliseconds(1000 + 100 * n), milliseconds{300}, 1);
+  }
+  day.periods = {{.worker = 0,
+                  .trouble = WorkerTrouble::kSilent,
+                  .from = milliseconds{1100},
+                  .until = milliseconds{1500}}};
+  EXPECT_EQ(PlayDay(day, options).unsettled, 0U);
+}
+
 class EveryPolicy : public testing::TestWithParam<std::string> {};
 
 TEST_P(EveryPolicy, KeepsTheRoomOfWorkersAndRepeatsItself) {
@@ -85,6 +96,7 @@
     options.layout = layout;
     const auto played = PlayDay(day, options);
     EXPECT_EQ(played.overfull, 0U);
+    EXPECT_EQ(played.unsettled, 0U);
     EXPECT_EQ(CreditsOf(day, played), CreditsOf(day, PlayDay(day, options)));
   }
 }
--- a/tests/servers/scheduling/orders_test.cc
+++ b/tests/servers/scheduling/orders_test.cc
@@ -156,5 +156,50 @@
   EXPECT_EQ(Take<ResultCommand>().at(0).result.outcome, JobOutcome::kFailed);
 }
 
+// Found by a replayed day (letters-high, seed 50): the room of two runs stayed
+// taken for good.
+class AWorkerThatWasSilent : public SchedulerStory {
+ protected:
+  void SetUp() override {
+    Begin({MakeEntry("w1", 15'000)});
+    Offer(MakeOffer(1, 1));
+    AnswerStart(Take<StartCommand>().at(0), OrderAnswer::kNoAnswer);
+    for (auto n = 0; n < 2; ++n) {
+      AnswerStop(Take<StopCommand>().at(0), OrderAnswer::kNoAnswer);
+    }
+    OnCancel(state, 0, JobName{1}, now, out);
+    const auto hold = Take<HoldCommand>().at(0);
+    OnHoldAnswer(state, hold, OrderAnswer::kNoAnswer, nullptr, now, now, out);
+    Pass(milliseconds{100});
+  }
+};
+
+TEST_F(AWorkerThatWasSilent, IsToldAgainToStopWhatItLeftUnanswered) {
+  AnswerHold(Take<HoldCommand>().at(0), {}, {});
+  const auto stops = Take<StopCommand>();
+  ASSERT_EQ(stops.size(), 1U);
+  AnswerStop(stops[0], OrderAnswer::kAccepted);
+  now += milliseconds{5};
+  AnswerHold(Take<HoldCommand>().at(0), {}, {});
+  EXPECT_EQ(state.workers.at("w1").used, Room());
+}
+
+class AWorkerThatRefusedForItsHealth : public SchedulerStory {};
+
+TEST_F(AWorkerThatRefusedForItsHealth, IsAskedAgainAndUsedWhenItAnswers) {
+  Begin({MakeEntry("w1", 15'000)});
+  Offer(MakeOffer(1, 1));
+  const auto hold = Take<HoldCommand>().at(0);
+  AnswerStart(Take<StartCommand>().at(0), OrderAnswer::kUnhealthy);
+  OnHoldAnswer(state, hold, OrderAnswer::kUnhealthy, nullptr, now, now, out);
+  ASSERT_FALSE(state.workers.at("w1").reachable);
+  Pass(milliseconds{100});
+  const auto holds = Take<HoldCommand>();
+  ASSERT_EQ(holds.size(), 1U);
+  AnswerHold(holds[0], {}, {});
+  EXPECT_TRUE(state.workers.at("w1").reachable);
+  EXPECT_GT(NextDue(state).value_or(now + seconds{1}), now);
+}
+
 }  // namespace
 }  // namespace boragecroft
