--- a/main/entry/store_flow.cc
+++ b/main/entry/store_flow.cc
@@ -49,11 +49,14 @@
   }
   if (!row.value) {
     LogUnreadable(row, "value is not valid base64");
+    OnWorkerReportRemoved(state, row.key);
     return;
   }
   const auto entry = platform::DecodeWorker(row.key, *row.value);
   if (entry.has_error()) {
+    // The entry names no worker to use, also if an earlier one did.
     LogUnreadable(row, DescribeFirstError(entry.error()));
+    OnWorkerReportRemoved(state, row.key);
     return;
   }
   OnWorkerReport(state, entry.value());
--- a/servers/scheduling/job.cc
+++ b/servers/scheduling/job.cc
@@ -19,9 +19,10 @@
 auto Fits(const Resources& capacity,
           const Resources& used,
           const Resources& needs) -> bool {
-  return used.cpu_millis + needs.cpu_millis <= capacity.cpu_millis &&
-         used.memory_mb + needs.memory_mb <= capacity.memory_mb &&
-         used.accelerators + needs.accelerators <= capacity.accelerators;
+  // Differences cannot overflow, whatever a caller asks for.
+  return needs.cpu_millis <= capacity.cpu_millis - used.cpu_millis &&
+         needs.memory_mb <= capacity.memory_mb - used.memory_mb &&
+         needs.accelerators <= capacity.accelerators - used.accelerators;
 }
 
 }  // namespace boragecroft
--- a/servers/scheduling/job.h
+++ b/servers/scheduling/job.h
@@ -40,7 +40,14 @@
   auto operator==(const Resources&) const -> bool = default;
 };
 
-// Reports whether `needs` fits within `capacity` in addition to `used`.
+// Upper bounds of what a worker can have and a task can need. An entry or a
+// request beyond them is invalid.
+inline constexpr Resources kMaxResources{.cpu_millis = 100'000'000,
+                                         .memory_mb = 1'000'000'000,
+                                         .accelerators = 1'000'000};
+
+// Reports whether `needs` fits within `capacity` in addition to `used`. No
+// amount may be negative.
 auto Fits(const Resources& capacity,
           const Resources& used,
           const Resources& needs) -> bool;
--- a/servers/scheduling/placement.cc
+++ b/servers/scheduling/placement.cc
@@ -1,6 +1,7 @@
 #include "servers/scheduling/placement.h"
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
 #include <vector>
 
@@ -134,14 +135,19 @@
 }
 
 auto CountSlotsBeside(const Resources& capacity,
-                      Resources used,
+                      const Resources& used,
                       const Resources& needs) -> uint32_t {
-  uint32_t n = 0;
-  while (Fits(capacity, used, needs)) {
-    used += needs;
-    ++n;
-  }
-  return n;
+  auto slots = std::numeric_limits<int64_t>::max();
+  const auto limit = [&](int64_t all, int64_t taken, int64_t each) {
+    if (each > 0) {
+      slots = std::min(slots, std::max<int64_t>(0, all - taken) / each);
+    }
+  };
+  limit(capacity.cpu_millis, used.cpu_millis, needs.cpu_millis);
+  limit(capacity.memory_mb, used.memory_mb, needs.memory_mb);
+  limit(capacity.accelerators, used.accelerators, needs.accelerators);
+  return static_cast<uint32_t>(
+      std::min<int64_t>(slots, std::numeric_limits<uint32_t>::max()));
 }
 
 // Applies the placement rules that consider free capacity only. They exist for
