Follow the workers only where they are needed, prefer strong holders, try unlikely jobs

Cause: each of 147 instances followed the rows of 1,100 workers, 733 changes a second, on a tenth of a core and 20 Mbit/s. Any instance could become a holder, however weak.

Change: only a holder and the first two successors of a group follow the workers;

Instances tell each other their processor share: successors are ordered by it, weak instances wait before a first claim, and a holder yields to a successor of twice its share after 3.5 s, as in a planned stop. A job whose run time must be much overestimated to end in time is started only while the fast workers are mostly free.

Two tests of placement changed: DoesNotStartTaskThatCannotEndBeforeCallerLeaves plays the high load that its comment names (70 % used; the worker was idle), and MovesRunThatCannotEndBeforeCallerLeaves has one slot on the fast worker, since both tasks would start there. Their checks are the same.

--- a/main/entry/entry_instance.cc
+++ b/main/entry/entry_instance.cc
@@ -23,9 +23,6 @@
 // The platform kills a process 6 s after SIGTERM, so the drain has to end
 // earlier.
 constexpr milliseconds kMaxDrainTime{5000};
-// Groups whose jobs have not ended after this part of the drain are released
-// together with these jobs.
-constexpr milliseconds kMaxGroupReleaseTime{1300};
 // A gap between heartbeats of at least this length occurs only when the process
 // was suspended or got too little processor time.
 constexpr milliseconds kSuspensionThreshold{700};
@@ -156,7 +153,6 @@
     return;
   }
   const auto passed = now - *state.draining_since;
-  ReleaseGroups(state, passed >= kMaxGroupReleaseTime);
   if (passed >= kDeregistrationTime) {
     // Closes each connection that is still open when no request is in progress
     // on it.
@@ -203,6 +199,8 @@
     RunDueWork(state, now);
     RemoveDepartedWorkers(state, now);
     MaintainInstanceLinks(state, now);
+    FollowWorkersIfNeeded(state, now);
+    ReleaseGroups(state, now);
     ContinueDrain(state, now);
     ArmDueTimer(state);
     ScheduleHeartbeat(state);
@@ -230,7 +228,8 @@
   state.self = InstanceRef{.name = state.settings.instance,
                            .zone = state.settings.zone,
                            .address = state.settings.instances,
-                           .incarnation = Incarnation{DrawEntropy()}};
+                           .incarnation = Incarnation{DrawEntropy()},
+                           .processor_millis = state.settings.processor_millis};
   state.succession.started = now;
   state.succession.jitter = DrawEntropy();
   state.intake.zone = state.settings.zone;
--- a/main/entry/entry_state.h
+++ b/main/entry/entry_state.h
@@ -69,6 +69,8 @@
   Intake intake;
   // The schedulers of the groups that this instance holds, by group.
   std::map<std::string, Scheduler> schedulers;
+  // Since when each held group is being released in favour of its successor.
+  std::map<std::string, Instant> yielding_since;
   // The last known holder of each group, to which the group's jobs were handed
   // over.
   std::map<std::string, InstanceRef> last_holder;
@@ -79,6 +81,8 @@
   std::unique_ptr<platform::StoreClient> store;
   std::shared_ptr<platform::TableFollower> operator_rows;
   std::shared_ptr<platform::TableFollower> worker_rows;
+  bool follows_workers = false;
+  Instant workers_needed_at;  // last time at which they were needed
   std::shared_ptr<platform::TableFollower> group_rows;
   std::unique_ptr<platform::WorkerClient> workers;
   std::unique_ptr<HandoverLink> link;
--- a/main/entry/group_flow.cc
+++ b/main/entry/group_flow.cc
@@ -173,6 +173,7 @@
 auto EndGroup(EntryState& state, const std::string& group) -> void {
   Log(LogLevel::kInfo, "group_given_up", {{"group", group}});
   state.schedulers.erase(group);
+  state.yielding_since.erase(group);
   RefreshGroupView(state, group);
 }
 
--- a/main/entry/store_flow.cc
+++ b/main/entry/store_flow.cc
@@ -17,6 +17,9 @@
 // a draining worker has to be known within 2 s.
 constexpr milliseconds kWorkerFeedPause{500};
 constexpr milliseconds kNoFeedPause{0};
+// Time for which an instance that needs the workers no more still follows them:
+// longer than a change of holders and of their successors takes.
+constexpr milliseconds kWorkersKept{10000};
 
 auto LogUnreadable(const platform::StoreRow& row, const std::string& reason)
     -> void {
@@ -76,11 +79,11 @@
   }
 }
 
-auto Follow(EntryState& state,
-            const std::string& table,
-            milliseconds pause,
-            void (*on_row)(EntryState&, const platform::StoreRow&),
-            std::function<void()> on_complete)
+auto MakeFollower(EntryState& state,
+                  const std::string& table,
+                  milliseconds pause,
+                  void (*on_row)(EntryState&, const platform::StoreRow&),
+                  std::function<void()> on_complete)
     -> std::shared_ptr<platform::TableFollower> {
   platform::TableCallbacks callbacks;
   callbacks.on_row = [&state, on_row](const platform::StoreRow& row) {
@@ -89,10 +92,8 @@
   };
   callbacks.on_complete = std::move(on_complete);
   callbacks.on_availability_changed = [](bool /*available*/) {};
-  auto follower = std::make_shared<platform::TableFollower>(
+  return std::make_shared<platform::TableFollower>(
       state.context, *state.store, table, pause, std::move(callbacks));
-  follower->Start();
-  return follower;
 }
 
 auto AddRows(SnapshotTransfer& out,
@@ -112,15 +113,38 @@
 auto FollowStore(EntryState& state) -> void {
   state.store = std::make_unique<platform::StoreClient>(state.context,
                                                         state.settings.store);
-  state.operator_rows = Follow(state, platform::kOperatorTable, kNoFeedPause,
-                               OnOperatorRow, [] {});
-  state.worker_rows = Follow(state, platform::kWorkerTable, kWorkerFeedPause,
-                             OnWorkerRow, [] {});
-  state.group_rows = Follow(state, platform::kGroupTable, kNoFeedPause,
-                            OnGroupTableRow, [&state] {
-                              state.succession.rows_known = true;
-                              ArmDueTimer(state);
-                            });
+  state.operator_rows = MakeFollower(state, platform::kOperatorTable,
+                                     kNoFeedPause, OnOperatorRow, [] {});
+  state.worker_rows = MakeFollower(state, platform::kWorkerTable,
+                                   kWorkerFeedPause, OnWorkerRow, [] {});
+  state.group_rows = MakeFollower(state, platform::kGroupTable, kNoFeedPause,
+                                  OnGroupTableRow, [&state] {
+                                    state.succession.rows_known = true;
+                                    ArmDueTimer(state);
+                                  });
+  state.operator_rows->Start();
+  state.group_rows->Start();
+}
+
+auto FollowWorkersIfNeeded(EntryState& state, Instant now) -> void {
+  if (NeedsWorkers(state.succession)) {
+    state.workers_needed_at = now;
+    if (!state.follows_workers) {
+      state.follows_workers = true;
+      state.worker_rows->Start();
+    }
+    return;
+  }
+  if (!state.follows_workers || now - state.workers_needed_at < kWorkersKept) {
+    return;
+  }
+  state.follows_workers = false;
+  state.worker_rows->Stop();
+  // What is not followed any more may soon be wrong, so it must not be used at
+  // a later takeover.
+  state.directory.clear();
+  state.departed_at.clear();
+  state.group_changed_at.clear();
 }
 
 auto AdoptConfiguration(EntryState& state, const std::string& document)
@@ -142,7 +166,6 @@
 auto MakeSnapshot(const EntryState& state) -> SnapshotTransfer {
   SnapshotTransfer out;
   AddRows(out, platform::kOperatorTable, *state.operator_rows);
-  AddRows(out, platform::kWorkerTable, *state.worker_rows);
   AddRows(out, platform::kGroupTable, *state.group_rows);
   return out;
 }
@@ -160,11 +183,9 @@
                                  .value = it.value,
                                  .version = it.version};
     if (it.table == platform::kOperatorTable) {
-      state.operator_rows->ApplyIfNewer(row);
-    } else if (it.table == platform::kWorkerTable) {
-      state.worker_rows->ApplyIfNewer(row);
+      state.operator_rows->ApplyFromPeer(row);
     } else if (it.table == platform::kGroupTable) {
-      state.group_rows->ApplyIfNewer(row);
+      state.group_rows->ApplyFromPeer(row);
     }
   }
   state.succession.rows_known = true;
--- a/main/entry/store_flow.h
+++ b/main/entry/store_flow.h
@@ -9,11 +9,16 @@
 
 // Connects to the store and starts following its tables.
 auto FollowStore(EntryState& state) -> void;
+// Follows the table of the workers while this instance holds a group or is
+// among its first successors, and some time longer. Call it once per heartbeat
+// interval and when this instance begins to hold a group.
+auto FollowWorkersIfNeeded(EntryState& state, Instant now) -> void;
 // Adopts a configuration document from the store or a peer. Ignores a document
 // that is not newer than the present one; logs an error when it cannot be read.
 auto AdoptConfiguration(EntryState& state, const std::string& document) -> void;
-// Returns all rows that this instance knows, for a peer that starts while the
-// store is unavailable.
+// Returns the rows of the configuration and of the groups, for a peer that
+// starts while the store is unavailable. Such a peer can't take over a group,
+// so it does not need the workers.
 auto MakeSnapshot(const EntryState& state) -> SnapshotTransfer;
 // Applies the rows of a peer's snapshot unless the rows are known already.
 auto ApplySnapshot(EntryState& state, const SnapshotTransfer& snapshot) -> void;
--- a/main/entry/succession_flow.cc
+++ b/main/entry/succession_flow.cc
@@ -8,6 +8,7 @@
 #include "main/entry/group_flow.h"
 #include "main/entry/job_flow.h"
 #include "main/entry/peer_flow.h"
+#include "main/entry/store_flow.h"
 #include "platform/group_rows.h"
 
 namespace boragecroft {
@@ -18,6 +19,9 @@
 constexpr milliseconds kSnapshotRequestDelay{800};
 // Interval after which an unanswered request for a snapshot is sent again.
 constexpr milliseconds kSnapshotRetryInterval{1000};
+// Groups whose jobs have not ended this long after their release began are
+// released together with these jobs.
+constexpr milliseconds kMaxReleaseTime{1300};
 
 auto ResultOf(const Result<uint64_t, platform::StoreError>& result)
     -> RowWrite {
@@ -49,6 +53,7 @@
 
 auto Execute(EntryState& state, const BeginHolding& command) -> void {
   BeginGroup(state, command.group, command.token);
+  FollowWorkersIfNeeded(state, BootClock::now());
   state.link->Broadcast(HolderAnnouncement{
       .group = command.group,
       .holder = {.instance = state.self, .token = command.token}});
@@ -58,6 +63,16 @@
   EndGroup(state, command.group);
 }
 
+auto Execute(EntryState& state, const YieldGroup& command) -> void {
+  if (!state.yielding_since.try_emplace(command.group, BootClock::now())
+           .second) {
+    return;
+  }
+  Log(LogLevel::kInfo, "group_yielded", {{"group", command.group}});
+  state.metrics.CountEvent("group_yielded");
+  state.schedulers.at(command.group).leaving = true;
+}
+
 // Marks the holder of a group as terminated when another incarnation answers at
 // its address.
 auto MarkReplacedHolders(EntryState& state, LinkId link) -> void {
@@ -147,6 +162,13 @@
   }
 }
 
+// Returns since when the group is being released; empty when it is kept.
+auto ReleasingSince(const EntryState& state, const std::string& group)
+    -> std::optional<Instant> {
+  const auto it = state.yielding_since.find(group);
+  return it == state.yielding_since.end() ? state.draining_since : it->second;
+}
+
 }  // namespace
 
 auto RunSuccessionCommands(EntryState& state,
@@ -203,11 +225,13 @@
   return success();
 }
 
-auto ReleaseGroups(EntryState& state, bool force) -> void {
+auto ReleaseGroups(EntryState& state, Instant now) -> void {
   HeartbeatMessage released = MakeHeartbeat(state, true);
   std::vector<std::string> groups;
   for (auto& it : released.groups) {
-    if (force || state.schedulers.at(it.group).jobs.empty()) {
+    const auto& scheduler = state.schedulers.at(it.group);
+    const auto since = ReleasingSince(state, it.group);
+    if (since && (scheduler.jobs.empty() || now - *since >= kMaxReleaseTime)) {
       it.leaving = true;
       it.ready = false;
       groups.push_back(it.group);
@@ -218,8 +242,7 @@
   }
   state.link->Broadcast(released);
   for (const auto& group : groups) {
-    auto& term = state.succession.groups[group];
-    term.held = false;
+    OnReleased(state.succession, group, now);
     EndGroup(state, group);
   }
 }
--- a/main/entry/succession_flow.h
+++ b/main/entry/succession_flow.h
@@ -17,9 +17,10 @@
 // Starts to listen for connections of other instances. An error names the
 // address.
 auto ListenForInstances(EntryState& state) -> Result<void, std::string>;
-// Releases the groups that have no unfinished job, or all groups when `force`
-// is true, and announces this to all connected peers.
-auto ReleaseGroups(EntryState& state, bool force) -> void;
+// Releases the groups that are being given up, each once it has no unfinished
+// job or after 1.3 s, and announces this to all connected peers. Call it once
+// per heartbeat interval.
+auto ReleaseGroups(EntryState& state, Instant now) -> void;
 
 }  // namespace boragecroft
 
--- a/peers/handover/gen/handover_types.cpp
+++ b/peers/handover/gen/handover_types.cpp
@@ -33,6 +33,10 @@
 void WireInstance::__set_incarnation(const int64_t val) {
   this->incarnation = val;
 }
+
+void WireInstance::__set_processor_millis(const int32_t val) {
+  this->processor_millis = val;
+}
 std::ostream& operator<<(std::ostream& out, const WireInstance& obj)
 {
   obj.printTo(out);
@@ -93,6 +97,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->processor_millis);
+          this->__isset.processor_millis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -126,6 +138,10 @@
   xfer += oprot->writeI64(this->incarnation);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("processor_millis", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->processor_millis);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -137,6 +153,7 @@
   swap(a.zone, b.zone);
   swap(a.address, b.address);
   swap(a.incarnation, b.incarnation);
+  swap(a.processor_millis, b.processor_millis);
   swap(a.__isset, b.__isset);
 }
 
@@ -145,6 +162,7 @@
   zone = other0.zone;
   address = other0.address;
   incarnation = other0.incarnation;
+  processor_millis = other0.processor_millis;
   __isset = other0.__isset;
 }
 WireInstance::WireInstance(WireInstance&& other1) noexcept {
@@ -152,6 +170,7 @@
   zone = std::move(other1.zone);
   address = std::move(other1.address);
   incarnation = other1.incarnation;
+  processor_millis = other1.processor_millis;
   __isset = other1.__isset;
 }
 WireInstance& WireInstance::operator=(const WireInstance& other2) {
@@ -159,6 +178,7 @@
   zone = other2.zone;
   address = other2.address;
   incarnation = other2.incarnation;
+  processor_millis = other2.processor_millis;
   __isset = other2.__isset;
   return *this;
 }
@@ -167,6 +187,7 @@
   zone = std::move(other3.zone);
   address = std::move(other3.address);
   incarnation = other3.incarnation;
+  processor_millis = other3.processor_millis;
   __isset = other3.__isset;
   return *this;
 }
@@ -177,6 +198,7 @@
   out << ", " << "zone=" << to_string(zone);
   out << ", " << "address=" << to_string(address);
   out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "processor_millis=" << to_string(processor_millis);
   out << ")";
 }
 
--- a/peers/handover/gen/handover_types.h
+++ b/peers/handover/gen/handover_types.h
@@ -50,11 +50,12 @@
 class WireHandover;
 
 typedef struct _WireInstance__isset {
-  _WireInstance__isset() : name(false), zone(false), address(false), incarnation(false) {}
+  _WireInstance__isset() : name(false), zone(false), address(false), incarnation(false), processor_millis(false) {}
   bool name :1;
   bool zone :1;
   bool address :1;
   bool incarnation :1;
+  bool processor_millis :1;
 } _WireInstance__isset;
 
 class WireInstance : public virtual ::apache::thrift::TBase {
@@ -68,7 +69,8 @@
                : name(),
                  zone(),
                  address(),
-                 incarnation(0) {
+                 incarnation(0),
+                 processor_millis(0) {
   }
 
   virtual ~WireInstance() noexcept;
@@ -76,6 +78,7 @@
   std::string zone;
   std::string address;
   int64_t incarnation;
+  int32_t processor_millis;
 
   _WireInstance__isset __isset;
 
@@ -87,6 +90,8 @@
 
   void __set_incarnation(const int64_t val);
 
+  void __set_processor_millis(const int32_t val);
+
   bool operator == (const WireInstance & rhs) const
   {
     if (!(name == rhs.name))
@@ -97,6 +102,8 @@
       return false;
     if (!(incarnation == rhs.incarnation))
       return false;
+    if (!(processor_millis == rhs.processor_millis))
+      return false;
     return true;
   }
   bool operator != (const WireInstance &rhs) const {
--- a/peers/handover/handover.thrift
+++ b/peers/handover/handover.thrift
@@ -7,6 +7,7 @@
   2: string zone
   3: string address
   4: i64 incarnation
+  5: i32 processor_millis
 }
 
 # The first message that each side sends on a connection.
--- a/peers/handover/handover_codec.cc
+++ b/peers/handover/handover_codec.cc
@@ -4,6 +4,7 @@
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "handover_types.h"
@@ -21,6 +22,7 @@
   out.zone = it.zone;
   out.address = ToString(it.address);
   out.incarnation = static_cast<int64_t>(it.incarnation.value);
+  out.processor_millis = static_cast<int32_t>(it.processor_millis);
   return out;
 }
 
@@ -33,7 +35,9 @@
       .name = in.name,
       .zone = in.zone,
       .address = *address,
-      .incarnation = Incarnation{static_cast<uint64_t>(in.incarnation)}};
+      .incarnation = Incarnation{static_cast<uint64_t>(in.incarnation)},
+      .processor_millis =
+          static_cast<uint32_t>(std::max(0, in.processor_millis))};
 }
 
 auto ToWire(const GroupStatus& it) -> wire::WireGroupStatus {
--- a/servers/scheduling/placement.cc
+++ b/servers/scheduling/placement.cc
@@ -41,7 +41,13 @@
 // only this share of the expected time is refused at once.
 constexpr double kHopelessRunTimeShare = 0.6;
 
-enum class Fit : uint8_t { kSafe, kBarely, kAfterObjective, kAfterLatest };
+enum class Fit : uint8_t {
+  kSafe,
+  kBarely,
+  kAfterObjective,
+  kUnlikely,  // in time only if its run time is much overestimated
+  kAfterLatest,
+};
 
 // Sort key of a worker; the smallest is chosen. It avoids the worker of the
 // last failure, then prefers the safer fit, then the slowest worker among those
@@ -71,9 +77,15 @@
     return Fit::kBarely;
   }
   const auto us = static_cast<double>(request.run_time.count()) / speed;
-  const auto end =
-      now + kDispatchOverhead + microseconds(static_cast<int64_t>(us));
-  return end <= request.latest ? Fit::kAfterObjective : Fit::kAfterLatest;
+  const auto ends = [&](double factor) {
+    return now + kDispatchOverhead +
+           microseconds(static_cast<int64_t>(us * factor));
+  };
+  if (ends(1) <= request.latest) {
+    return Fit::kAfterObjective;
+  }
+  return ends(kHopelessRunTimeShare) <= request.latest ? Fit::kUnlikely
+                                                       : Fit::kAfterLatest;
 }
 
 auto Prefer(const WorkerAccount& worker,
@@ -86,7 +98,7 @@
   const auto left = worker.entry.capacity.cpu_millis - worker.used.cpu_millis -
                     request.needs.cpu_millis;
   const auto avoided = worker.entry.id == request.avoid;
-  const auto fastest_first = prefer_fast || fit == Fit::kAfterObjective;
+  const auto fastest_first = prefer_fast || fit >= Fit::kAfterObjective;
   return {avoided, fit, fastest_first ? -speed : speed, left};
 }
 
@@ -206,12 +218,15 @@
       continue;
     }
     const auto preference = Prefer(worker, times, request, prefer_fast, now);
-    if (std::get<Fit>(preference) == Fit::kAfterLatest) {
+    const auto fit = std::get<Fit>(preference);
+    // An attempt that probably fails is made only once, and only on capacity
+    // that nothing else needs.
+    const auto may_try = prefer_fast && request.avoid.empty();
+    if (fit == Fit::kAfterLatest || (fit == Fit::kUnlikely && !may_try)) {
       continue;
     }
-    const auto good =
-        std::get<Fit>(preference) == Fit::kSafe ||
-        SpeedOf(times, worker.entry) >= fastest * kNearFastestSpeedShare;
+    const auto good = fit == Fit::kSafe || SpeedOf(times, worker.entry) >=
+                                               fastest * kNearFastestSpeedShare;
     if (wait_for_fast && !good) {
       continue;
     }
--- a/servers/succession/succession.cc
+++ b/servers/succession/succession.cc
@@ -31,6 +31,17 @@
 // Minimum time between two writes of changed successors.
 constexpr milliseconds kSuccessorUpdateInterval{1500};
 constexpr size_t kMaxSuccessors = 5;
+// Number of successors that follow the table of the workers, so that they can
+// take over at once. The others read it when they begin to hold a group: on
+// hundreds of instances the table would use up the links of the small ones.
+constexpr size_t kInformedSuccessors = 2;
+// A holder yields to a successor with at least this multiple of its own
+// processor share.
+constexpr uint32_t kYieldRatio = 2;
+// An instance with a smaller processor share leaves the first claim of a group
+// to the larger ones: it waits for up to kMaxWeakDelay.
+constexpr uint32_t kStrongProcessorMillis = 500;
+constexpr milliseconds kMaxWeakDelay{250};
 
 auto HighestToken(const GroupTerm& term) -> uint64_t {
   uint64_t n = term.holder ? term.holder->token : 0;
@@ -50,10 +61,15 @@
     -> std::vector<InstanceRef> {
   std::vector<InstanceRef> out;
   for (const auto& [address, it] : state.connected) {
-    if (it.zone == group && out.size() < kMaxSuccessors) {
+    if (it.zone == group) {
       out.push_back(it);
     }
   }
+  std::stable_sort(out.begin(), out.end(),
+                   [](const InstanceRef& a, const InstanceRef& b) {
+                     return a.processor_millis > b.processor_millis;
+                   });
+  out.resize(std::min(out.size(), kMaxSuccessors));
   return out;
 }
 
@@ -92,6 +108,7 @@
   term.holder = holder;
   const auto own = holder.instance == state.self;
   if (own) {
+    term.held_since = term.held ? term.held_since : now;
     term.held = true;
     out.push_back(BeginHolding{.group = group, .token = holder.token});
     return;
@@ -123,6 +140,18 @@
   return std::nullopt;
 }
 
+// Returns for how long this instance leaves the first claim of a group to
+// instances with a larger processor share.
+auto WeakDelay(const Succession& state) -> milliseconds {
+  if (state.self.processor_millis == 0) {
+    return milliseconds{0};
+  }
+  const auto share =
+      std::min(state.self.processor_millis, kStrongProcessorMillis);
+  return kMaxWeakDelay * (kStrongProcessorMillis - share) /
+         kStrongProcessorMillis;
+}
+
 auto RankDelay(const Succession& state,
                const std::string& group,
                const GroupTerm& term) -> milliseconds {
@@ -149,7 +178,8 @@
   if (!term.holder || !term.row) {
     const auto own_zone = group == state.self.zone;
     return state.started +
-           (own_zone ? milliseconds(state.jitter % kInitialJitter.count())
+           (own_zone ? milliseconds(state.jitter % kInitialJitter.count()) +
+                           WeakDelay(state)
                      : kOtherZoneDelay);
   }
   if (term.status != HolderStatus::kUnresponsive &&
@@ -180,6 +210,24 @@
   return term.next_write;
 }
 
+// Returns when the holder yields the group to its first successor; empty when
+// it keeps it.
+auto YieldAt(const Succession& state, const GroupTerm& term)
+    -> std::optional<Instant> {
+  if (!term.held || state.leaving || !term.row ||
+      !(term.row->holder == state.self) || term.row->successors.empty() ||
+      state.self.processor_millis == 0) {
+    return std::nullopt;
+  }
+  const auto& first = term.row->successors.front().instance;
+  const auto connected = state.connected.find(first.address);
+  if (connected == state.connected.end() || !(connected->second == first) ||
+      first.processor_millis < kYieldRatio * state.self.processor_millis) {
+    return std::nullopt;
+  }
+  return term.held_since + kReacquireDelay;
+}
+
 auto WriteRow(const Succession& state,
               const std::string& group,
               GroupTerm& term,
@@ -256,6 +304,31 @@
   }
 }
 
+auto OnReleased(Succession& state, const std::string& group, Instant now)
+    -> void {
+  auto& term = state.groups[group];
+  term.held = false;
+  term.not_before = now + kReacquireDelay;
+}
+
+auto NeedsWorkers(const Succession& state) -> bool {
+  return std::any_of(
+      state.groups.begin(), state.groups.end(), [&](const auto& it) {
+        const auto& term = it.second;
+        if (term.held) {
+          return true;
+        }
+        const auto& successors =
+            term.row ? term.row->successors : std::vector<Successor>();
+        const auto n = std::min(successors.size(), kInformedSuccessors);
+        return std::any_of(successors.begin(),
+                           successors.begin() + static_cast<ptrdiff_t>(n),
+                           [&](const Successor& successor) {
+                             return successor.instance == state.self;
+                           });
+      });
+}
+
 auto OnFenced(Succession& state,
               const std::string& group,
               Instant now,
@@ -281,6 +354,11 @@
     const auto take_due = take && *take <= now && term.next_write <= now;
     if (take_due || (rewrite && *rewrite <= now)) {
       WriteRow(state, group, term, out);
+      continue;
+    }
+    const auto yield = YieldAt(state, term);
+    if (yield && *yield <= now) {
+      out.push_back(YieldGroup{group});
     }
   }
 }
--- a/servers/succession/succession.h
+++ b/servers/succession/succession.h
@@ -29,6 +29,7 @@
   std::string zone;
   Address address;
   Incarnation incarnation;
+  uint32_t processor_millis = 0;  // thousandths of a core; 0: not known
 
   auto operator==(const InstanceRef&) const -> bool = default;
 };
@@ -65,6 +66,7 @@
   HolderStatus status = HolderStatus::kUnknown;
   Instant status_since;
   bool held = false;  // set when this instance is the holder
+  Instant held_since;
   bool write_in_flight = false;
   Instant next_write;
   Instant not_before;  // earliest takeover after this instance lost the group
@@ -94,7 +96,12 @@
 struct EndHolding {
   std::string group;
 };
-using SuccessionCommand = std::variant<WriteGroupRow, BeginHolding, EndHolding>;
+// Requests a planned release of a group, in favour of its first successor.
+struct YieldGroup {
+  std::string group;
+};
+using SuccessionCommand =
+    std::variant<WriteGroupRow, BeginHolding, EndHolding, YieldGroup>;
 using SuccessionCommands = std::vector<SuccessionCommand>;
 
 enum class RowWrite : uint8_t {
@@ -123,6 +130,12 @@
                   uint64_t version,
                   Instant now,
                   SuccessionCommands& out) -> void;
+// Ends a planned release: the group is not held any more.
+auto OnReleased(Succession& state, const std::string& group, Instant now)
+    -> void;
+// Returns whether this instance must know the workers of a group: it holds one,
+// or it is among the first successors of one.
+auto NeedsWorkers(const Succession& state) -> bool;
 // Handles a worker's refusal of the token: another instance holds the group.
 auto OnFenced(Succession& state,
               const std::string& group,
--- /dev/null
+++ b/tests/platform/table_follower_test.cc
@@ -0,0 +1,115 @@
+// Checks how a table of the store is followed, with a store in the same process
+// that answers each request as the test says.
+#include "platform/table_follower.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/http/http_server.h"
+
+namespace boragecroft::platform {
+namespace {
+
+class FollowedTable : public testing::Test {
+ protected:
+  void SetUp() override {
+    HttpServerCallbacks calls;
+    calls.on_request = [this](const HttpRequest& request,
+                              HttpResponder respond) {
+      const auto feed = TargetPath(request.target) == "/rows-feed";
+      if (feed && feed_answers.empty()) {
+        waiting.push_back(std::move(respond));
+        return;
+      }
+      HttpResponse answer;
+      answer.body = feed ? feed_answers.front() : table;
+      if (feed) {
+        feed_answers.erase(feed_answers.begin());
+      } else {
+        ++reads;
+      }
+      respond(std::move(answer));
+    };
+    HttpServerOptions options;
+    options.listen = {.ip = "127.0.0.1", .port = 0};
+    auto server = HttpServer::Listen(context, options, std::move(calls));
+    ASSERT_TRUE(server.has_value());
+    store_server = std::move(server).value();
+    store = std::make_unique<StoreClient>(
+        context, Address{.ip = "127.0.0.1", .port = store_server->Port()});
+    TableCallbacks callbacks;
+    callbacks.on_row = [this](const StoreRow& row) {
+      seen.push_back((row.deleted ? "-" : "+") + row.key);
+    };
+    callbacks.on_complete = [this] { ++completed; };
+    callbacks.on_availability_changed = [](bool /*available*/) {};
+    follower = std::make_shared<TableFollower>(
+        context, *store, "servers", milliseconds{0}, std::move(callbacks));
+  }
+
+  auto RunFor(milliseconds time) -> void {
+    context.restart();
+    context.run_for(time);
+  }
+
+  static auto PeerRow(const std::string& key, uint64_t version) -> StoreRow {
+    return StoreRow{
+        .table = "servers", .key = key, .value = "x", .version = version};
+  }
+
+  boost::asio::io_context context;
+  std::unique_ptr<HttpServer> store_server;
+  std::unique_ptr<StoreClient> store;
+  std::shared_ptr<TableFollower> follower;
+  std::string table =
+      R"({"rows":[{"key":"a","value":"eA==","ver":3}],"ver":5})";
+  std::vector<std::string> feed_answers;
+  std::vector<HttpResponder> waiting;
+  std::vector<std::string> seen;
+  int reads = 0;
+  int completed = 0;
+};
+
+// Guards against the return of a worker that left: a peer that is partitioned
+// from the store still has its row and sends it in a snapshot.
+TEST_F(FollowedTable, KeepsDeletedRowDeletedWhenPeerStillHasIt) {
+  feed_answers = {R"({"rows":[{"key":"a","ver":7,"deleted":true}],"ver":7})"};
+  follower->Start();
+  RunFor(milliseconds{300});
+  ASSERT_EQ(seen, (std::vector<std::string>{"+a", "-a"}));
+  follower->ApplyFromPeer(PeerRow("a", 3));
+  EXPECT_EQ(seen.size(), 2);
+  follower->ApplyFromPeer(PeerRow("a", 8));
+  EXPECT_EQ(seen.back(), "+a");
+}
+
+TEST_F(FollowedTable, TakesRowsOfPeerWhileStoreHasNotAnswered) {
+  follower->ApplyFromPeer(PeerRow("a", 3));
+  EXPECT_EQ(seen, (std::vector<std::string>{"+a"}));
+}
+
+TEST_F(FollowedTable, DropsAnswersAfterItStopped) {
+  follower->Start();
+  follower->Stop();
+  RunFor(milliseconds{300});
+  EXPECT_TRUE(seen.empty());
+  EXPECT_TRUE(follower->Rows().empty());
+  EXPECT_EQ(completed, 0);
+}
+
+TEST_F(FollowedTable, ReadsAllRowsAgainAfterItWasStopped) {
+  follower->Start();
+  RunFor(milliseconds{300});
+  follower->Stop();
+  follower->Start();
+  RunFor(milliseconds{300});
+  EXPECT_EQ(seen, (std::vector<std::string>{"+a", "+a"}));
+  EXPECT_EQ(reads, 2);
+  EXPECT_EQ(completed, 2);
+}
+
+}  // namespace
+}  // namespace boragecroft::platform
--- a/tests/servers/scheduling/waiting_test.cc
+++ b/tests/servers/scheduling/waiting_test.cc
@@ -156,8 +156,10 @@
 // worker of speed 0.5 can't end before its caller stops waiting and only
 // occupies the worker.
 TEST_F(TaskPlacement, DoesNotStartTaskThatCannotEndBeforeCallerLeaves) {
-  Begin({MakeEntry("slow", 32'000)});
+  Begin({MakeEntry("slow", 60'000)});
   state.run_times.workers["slow"] = {.value = 0.7, .observations = 50};
+  Offer(MakeOffer(1, 3));
+  ASSERT_EQ(Take<StartCommand>().size(), 3);
   auto long_job = MakeOffer(2, 1);
   long_job.run_estimate = milliseconds{900};
   Offer(long_job);
@@ -181,6 +183,22 @@
   EXPECT_EQ(starts[3].target.worker, "middle");
 }
 
+// Covers quiet load: an attempt that probably fails uses only capacity that
+// nothing else needs, and it is made once.
+TEST_F(TaskPlacement, TriesUnlikelyJobOnceAtQuietLoad) {
+  Begin({MakeEntry("a", 32'000), MakeEntry("b", 32'000)});
+  auto unlikely = MakeOffer(1, 1);
+  unlikely.run_estimate = milliseconds{2000};
+  Offer(unlikely);
+  const auto starts = Take<StartCommand>();
+  ASSERT_EQ(starts.size(), 1);
+  AnswerStart(starts[0], OrderAnswer::kAccepted);
+  for (const auto& it : Take<RenewCommand>()) {
+    AnswerRenewal(it, {}, {{1, starts[0].task, 1, RunEnd::kFailed}});
+  }
+  EXPECT_TRUE(Take<StartCommand>().empty());
+}
+
 // Guards against waits that cannot help: no worker can end the job before its
 // caller leaves, so the caller is told at once that nothing has run.
 TEST_F(TaskPlacement, RefusesHopelessJobAtOnce) {
@@ -223,7 +241,7 @@
 // Covers a worker that becomes slow: the ended task of the job shows that the
 // other one can't end in time where it runs.
 TEST_F(TaskPlacement, MovesRunThatCannotEndBeforeCallerLeaves) {
-  Begin({MakeEntry("fast", 28'000), MakeEntry("slow", 14'000)});
+  Begin({MakeEntry("fast", 14'000), MakeEntry("slow", 14'000)});
   state.run_times.workers["fast"] = {.value = -0.5, .observations = 50};
   auto long_job = MakeOffer(1, 2);
   long_job.run_estimate = milliseconds{400};
--- a/tests/servers/succession/succession_test.cc
+++ b/tests/servers/succession/succession_test.cc
@@ -85,6 +85,14 @@
   EXPECT_TRUE(out.empty());
 }
 
+TEST_F(GroupWithoutRow, IsLeftToStrongerInstanceAtFirst) {
+  state.self.processor_millis = 90;
+  AdvanceTime(milliseconds{100});
+  EXPECT_TRUE(out.empty());
+  AdvanceTime(milliseconds{300});
+  EXPECT_EQ(Take<WriteGroupRow>(out).size(), 1);
+}
+
 class LostHolder : public SuccessionFixture {
  protected:
   void SetUp() override {
@@ -193,6 +201,70 @@
   EXPECT_GT(writes[0].row.successors[0].token, writes[0].row.token);
 }
 
+// Guards against holders that can't carry their group: on hundreds of instances
+// most have a tenth of a core, and some half a core.
+TEST_F(CurrentHolder, YieldsGroupToMuchStrongerSuccessor) {
+  state.self.processor_millis = 90;
+  auto strong = MakeInstance("strong", "north", 8);
+  strong.processor_millis = 500;
+  auto weak = third;
+  weak.processor_millis = 90;
+  state.connected[weak.address] = weak;
+  state.connected[strong.address] = strong;
+  OnAnnounced(state, "north", {state.self, 12}, now, out);
+  out.clear();
+  AdvanceTime(seconds(2));
+  const auto write = Take<WriteGroupRow>(out).at(0);
+  ASSERT_EQ(write.row.successors.size(), 2);
+  EXPECT_EQ(write.row.successors[0].instance, strong);
+  OnRowWritten(state, write.row, RowWrite::kWritten, 8, now, out);
+  out.clear();
+  AdvanceTime(seconds(1));
+  EXPECT_TRUE(Take<YieldGroup>(out).empty());
+  AdvanceTime(seconds(3));
+  EXPECT_EQ(Take<YieldGroup>(out).size(), 1);
+  OnReleased(state, "north", now);
+  EXPECT_FALSE(state.groups["north"].held);
+  AdvanceTime(seconds(3));
+  EXPECT_TRUE(out.empty());
+}
+
+TEST_F(CurrentHolder, KeepsGroupBesideEquallyStrongSuccessor) {
+  state.self.processor_millis = 250;
+  auto equal = third;
+  equal.processor_millis = 260;
+  state.connected[equal.address] = equal;
+  OnAnnounced(state, "north", {state.self, 13}, now, out);
+  out.clear();
+  AdvanceTime(seconds(2));
+  const auto write = Take<WriteGroupRow>(out).at(0);
+  OnRowWritten(state, write.row, RowWrite::kWritten, 8, now, out);
+  out.clear();
+  AdvanceTime(seconds(10));
+  EXPECT_TRUE(out.empty());
+}
+
+// Covers links of small instances: the table of 1,100 workers is read only
+// where it is needed.
+TEST_F(CurrentHolder, NeedsWorkersLikeItsFirstSuccessorsOnly) {
+  EXPECT_TRUE(NeedsWorkers(state));
+  const auto fourth = MakeInstance("fourth", "north", 4);
+  const auto fifth = MakeInstance("fifth", "north", 5);
+  const auto needed_by = [&](const InstanceRef& instance) {
+    Succession at;
+    at.self = instance;
+    SuccessionCommands ignored;
+    OnGroupRow(at, Row(9, other, 90, {{third, 91}, {fourth, 92}, {fifth, 93}}),
+               now, ignored);
+    return NeedsWorkers(at);
+  };
+  EXPECT_TRUE(needed_by(other));
+  EXPECT_TRUE(needed_by(third));
+  EXPECT_TRUE(needed_by(fourth));
+  EXPECT_FALSE(needed_by(fifth));
+  EXPECT_FALSE(needed_by(self));
+}
+
 TEST_F(CurrentHolder, IgnoresOlderRow) {
   OnGroupRow(state, Row(4, other, 99, {}), now, out);
   EXPECT_TRUE(out.empty());
