Go on after an event that fails, and check for a suspension before orders

An exception in one handler (a length that the memory can't hold, an odd message) ended the process. A connection whose queue was full was closed inside a send, so that the caller used a peer that the callback had removed. A process that was suspended noticed it only at its next heartbeat; answers that waited in its sockets could start tasks of jobs that had been handed over elsewhere meanwhile. An answer with a status that the protocol does not name counted as proof that the order had not run.

Change: the event loop logs and counts the exception and goes on; heartbeats are armed before their work; the close is posted; the suspension is checked before answers, peers' messages and due work; unknown statuses mean that the order may have run; offers and tokens of peers are bounded.

--- a/core/net/framed_connection.cc
+++ b/core/net/framed_connection.cc
@@ -1,5 +1,6 @@
 #include "core/net/framed_connection.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <cstring>
 #include <utility>
@@ -46,7 +47,10 @@
     return;
   }
   if (queued_.size() + message.size() > kMaxQueuedBytes) {
-    CloseWithError(asio::error::no_buffer_space);
+    // Later, because the caller may still use what the callback removes.
+    asio::post(socket_.get_executor(), [self = shared_from_this()] {
+      self->CloseWithError(asio::error::no_buffer_space);
+    });
     return;
   }
   const auto n = static_cast<uint32_t>(message.size());
--- a/main/entry/entry_instance.cc
+++ b/main/entry/entry_instance.cc
@@ -11,6 +11,7 @@
 #include "main/entry/job_flow.h"
 #include "main/entry/store_flow.h"
 #include "main/entry/succession_flow.h"
+#include "main/entry/suspension.h"
 #include "platform/ingress.h"
 
 namespace boragecroft {
@@ -23,9 +24,6 @@
 // The platform kills a process 6 s after SIGTERM, so the drain has to end
 // earlier.
 constexpr milliseconds kMaxDrainTime{5000};
-// A gap between heartbeats of at least this length occurs only when the process
-// was suspended or got too little processor time.
-constexpr milliseconds kSuspensionThreshold{700};
 // File descriptors that callers may not use: the readiness check, metrics and
 // other files need them.
 constexpr size_t kReservedDescriptors = 600;
@@ -130,24 +128,6 @@
   return success();
 }
 
-// Treats the origin instances of all jobs as lost after a suspension: they may
-// have handed their jobs to another holder in the meantime.
-auto HandleSuspension(EntryState& state, Instant now) -> void {
-  if (state.last_heartbeat == Instant() ||
-      now - state.last_heartbeat < kSuspensionThreshold) {
-    return;
-  }
-  Log(LogLevel::kWarning, "suspended",
-      {{"for_ms",
-        std::chrono::duration_cast<milliseconds>(now - state.last_heartbeat)
-            .count()}});
-  for (const auto& [link, peer] : state.peers) {
-    for (auto& [group, scheduler] : state.schedulers) {
-      OnOriginLost(scheduler, link, state.last_heartbeat);
-    }
-  }
-}
-
 auto ContinueDrain(EntryState& state, Instant now) -> void {
   if (!state.draining_since) {
     return;
@@ -193,6 +173,8 @@
     if (ec) {
       return;
     }
+    // First, so that the heartbeats go on if one of the steps fails.
+    ScheduleHeartbeat(state);
     const auto now = BootClock::now();
     HandleSuspension(state, now);
     state.last_heartbeat = now;
@@ -203,7 +185,6 @@
     ReleaseGroups(state, now);
     ContinueDrain(state, now);
     ArmDueTimer(state);
-    ScheduleHeartbeat(state);
   });
 }
 
@@ -304,7 +285,9 @@
       return;
     }
     state.due_at.reset();
-    RunDueWork(state, BootClock::now());
+    const auto now = BootClock::now();
+    HandleSuspension(state, now);
+    RunDueWork(state, now);
     ArmDueTimer(state);
   });
 }
--- a/main/entry/group_flow.cc
+++ b/main/entry/group_flow.cc
@@ -7,6 +7,7 @@
 #include "main/entry/entry_instance.h"
 #include "main/entry/job_flow.h"
 #include "main/entry/succession_flow.h"
+#include "main/entry/suspension.h"
 #include "platform/ingress.h"
 
 namespace boragecroft {
@@ -116,8 +117,10 @@
     return;
   }
   const auto group = held_group->first;
+  const auto now = BootClock::now();
+  HandleSuspension(state, now);
   SchedulerCommands commands;
-  event(held_group->second, BootClock::now(), commands);
+  event(held_group->second, now, commands);
   RunSchedulerCommands(state, group, commands);
   ArmDueTimer(state);
 }
--- a/main/entry/main.cc
+++ b/main/entry/main.cc
@@ -12,6 +12,7 @@
 
 #include "core/log/log.h"
 #include "main/entry/entry_instance.h"
+#include "main/entry/event_loop.h"
 
 namespace boragecroft {
 namespace {
@@ -93,7 +94,12 @@
     Log(LogLevel::kError, "cannot_start", {{"reason", started.error()}});
     return kCannotStart;
   }
-  context.run();
+  RunEventLoop(context, [&state](const char* reason) {
+    state.metrics.CountEvent("event_failed");
+    if (MayLog(state.log_budget, BootClock::now())) {
+      Log(LogLevel::kError, "event_failed", {{"reason", reason}});
+    }
+  });
   return kStopped;
 }
 
--- a/main/entry/succession_flow.cc
+++ b/main/entry/succession_flow.cc
@@ -9,6 +9,7 @@
 #include "main/entry/job_flow.h"
 #include "main/entry/peer_flow.h"
 #include "main/entry/store_flow.h"
+#include "main/entry/suspension.h"
 #include "platform/group_rows.h"
 
 namespace boragecroft {
@@ -202,6 +203,7 @@
     ArmDueTimer(state);
   };
   callbacks.on_message = [&state](LinkId link, HandoverMessage message) {
+    HandleSuspension(state, BootClock::now());
     if (state.peers.contains(link)) {
       OnPeerMessage(state, link, std::move(message));
       ArmDueTimer(state);
--- /dev/null
+++ b/main/entry/suspension.cc
@@ -0,0 +1,31 @@
+#include "main/entry/suspension.h"
+
+#include "core/log/log.h"
+
+namespace boragecroft {
+namespace {
+
+// A gap between heartbeats of at least this length occurs only when the process
+// was suspended or got too little processor time.
+constexpr milliseconds kSuspensionThreshold{700};
+
+}  // namespace
+
+auto HandleSuspension(EntryState& state, Instant now) -> void {
+  if (state.last_heartbeat == Instant() ||
+      now - state.last_heartbeat < kSuspensionThreshold) {
+    return;
+  }
+  Log(LogLevel::kWarning, "suspended",
+      {{"for_ms",
+        std::chrono::duration_cast<milliseconds>(now - state.last_heartbeat)
+            .count()}});
+  for (const auto& [link, peer] : state.peers) {
+    for (auto& [group, scheduler] : state.schedulers) {
+      OnOriginLost(scheduler, link, state.last_heartbeat);
+    }
+  }
+  state.last_heartbeat = now;
+}
+
+}  // namespace boragecroft
--- a/peers/handover/handover_codec.cc
+++ b/peers/handover/handover_codec.cc
@@ -5,6 +5,8 @@
 #include <thrift/transport/TBufferTransports.h>
 
 #include <algorithm>
+#include <exception>
+#include <limits>
 #include <utility>
 
 #include "handover_types.h"
@@ -16,6 +18,34 @@
 using apache::thrift::transport::TMemoryBuffer;
 namespace wire = handover_wire;
 
+// Terms use up to kTokensPerTerm tokens each, so that a token beyond this can't
+// be valid.
+constexpr int64_t kMaxTermToken = std::numeric_limits<int64_t>::max() / 4096;
+
+auto IsTermToken(int64_t token) -> bool {
+  return token >= 0 && token <= kMaxTermToken;
+}
+
+auto IsWithin(int64_t amount, int64_t most) -> bool {
+  return amount >= 0 && amount <= most;
+}
+
+// Reports whether the offer could have been accepted from a caller.
+auto IsValid(const wire::WireOffer& in) -> bool {
+  constexpr int32_t kMaxTasks = 1'000'000;
+  constexpr int64_t kMaxTimeMs = 1'000'000'000;
+  return IsWithin(in.count, kMaxTasks) && in.submission >= 0 &&
+         in.max_attempts >= 0 &&
+         IsWithin(in.cpu_millis, kMaxResources.cpu_millis) &&
+         IsWithin(in.memory_mb, kMaxResources.memory_mb) &&
+         IsWithin(in.accelerators, kMaxResources.accelerators) &&
+         IsWithin(in.run_estimate_ms, kMaxTimeMs) &&
+         IsWithin(in.target_ms, kMaxTimeMs) &&
+         IsWithin(in.age_ms, kMaxTimeMs) && in.remaining_ms <= kMaxTimeMs &&
+         in.remaining_ms >= -kMaxTimeMs && in.slack_factor >= 0 &&
+         in.slack_factor <= 1e6;
+}
+
 auto ToWire(const InstanceRef& it) -> wire::WireInstance {
   wire::WireInstance out;
   out.name = it.name;
@@ -164,10 +194,14 @@
   out.__set_tenure(announcement);
 }
 
-auto DecodeHeartbeat(const wire::WireHeartbeat& in) -> HandoverMessage {
+auto DecodeHeartbeat(const wire::WireHeartbeat& in)
+    -> std::optional<HandoverMessage> {
   HeartbeatMessage out;
   out.configuration_version = static_cast<uint64_t>(in.configuration_version);
   for (const auto& it : in.groups) {
+    if (!IsTermToken(it.token)) {
+      return std::nullopt;
+    }
     out.groups.push_back(FromWire(it));
   }
   out.reply = in.reply;
@@ -175,7 +209,7 @@
 }
 
 auto DecodeOffer(wire::WireOffer& in) -> std::optional<HandoverMessage> {
-  if (in.count < 0 || in.submission < 0 || in.max_attempts < 0) {
+  if (!IsValid(in)) {
     return std::nullopt;
   }
   OfferMessage out;
@@ -232,7 +266,7 @@
 auto DecodeHolderAnnouncement(const wire::WireTenure& in)
     -> std::optional<HandoverMessage> {
   auto holder = FromWire(in.holder);
-  if (!holder) {
+  if (!holder || !IsTermToken(in.token)) {
     return std::nullopt;
   }
   return HolderAnnouncement{
@@ -302,7 +336,8 @@
   wire::WireHandover in;
   try {
     in.read(&protocol);
-  } catch (const apache::thrift::TException&) {
+  } catch (const std::exception&) {
+    // Besides Thrift's own errors: a length that the memory can't hold.
     return std::nullopt;
   }
   return DecodeBody(in);
--- a/tests/peers/handover/handover_codec_test.cc
+++ b/tests/peers/handover/handover_codec_test.cc
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <limits>
+
 namespace boragecroft {
 namespace {
 
@@ -63,6 +65,46 @@
   EXPECT_FALSE(DecodeHandover(EncodeHandover(message)));
 }
 
+// Guards against memory taken for a count that no caller may ask for, and
+// against sums that overflow.
+TEST(HandoverCodecTest, RejectsOfferOutOfRange) {
+  const auto is_read = [](const JobOffer& offer) {
+    return DecodeHandover(EncodeHandover(OfferMessage{"north", offer}))
+        .has_value();
+  };
+  JobOffer offer;
+  offer.count = 8;
+  EXPECT_TRUE(is_read(offer));
+  for (auto* amount : {&offer.needs.cpu_millis, &offer.needs.memory_mb,
+                       &offer.needs.accelerators}) {
+    for (const auto odd : {std::numeric_limits<int64_t>::max(), int64_t{-1}}) {
+      *amount = odd;
+      EXPECT_FALSE(is_read(offer));
+    }
+    *amount = 1;
+  }
+  offer.count = 2'000'000'000;
+  EXPECT_FALSE(is_read(offer));
+}
+
+TEST(HandoverCodecTest, RejectsTokenOutOfRange) {
+  HolderAnnouncement message;
+  message.group = "north";
+  message.holder.instance.address = {.ip = "10.0.0.1", .port = 7};
+  message.holder.token = 5;
+  EXPECT_TRUE(DecodeHandover(EncodeHandover(message)));
+  message.holder.token = std::numeric_limits<uint64_t>::max();
+  EXPECT_FALSE(DecodeHandover(EncodeHandover(message)));
+}
+
+TEST(HandoverCodecTest, HelloCarriesProcessorShare) {
+  HelloMessage message;
+  message.sender.address = {.ip = "10.0.0.1", .port = 7};
+  message.sender.processor_millis = 90;
+  const auto read = std::get<HelloMessage>(RoundTrip(message));
+  EXPECT_EQ(read.sender, message.sender);
+}
+
 RC_GTEST_PROP(HandoverCodecTest,
               HandlesRandomBytes,
               (const std::string& bytes)) {
--- a/tests/platform/platform_formats_test.cc
+++ b/tests/platform/platform_formats_test.cc
@@ -172,6 +172,9 @@
   EXPECT_EQ(read(409, R"({"reason":"old"})"), OrderAnswer::kStaleAttempt);
   EXPECT_EQ(read(409, R"({"reason":"late"})"), OrderAnswer::kLeaseExpired);
   EXPECT_EQ(read(421, ""), OrderAnswer::kMoved);
+  // Such an answer does not say that nothing ran.
+  EXPECT_EQ(read(500, ""), OrderAnswer::kNoAnswer);
+  EXPECT_EQ(read(504, "{"), OrderAnswer::kNoAnswer);
   EXPECT_EQ(read(503, ""), OrderAnswer::kUnhealthy);
   EXPECT_EQ(read(400, ""), OrderAnswer::kInvalid);
 }
