Let a large configuration arrive on a slow link, and ask peers for it rarely

The configuration had 1,040 routes, about 300 KB; on 2 Mbit/s it takes more than a second, but the whole answer had to arrive within 900 ms, and each retry began at its start. Each heartbeat of five holders that named a newer version caused a request for a copy, five times a second each; the copies used up the links, heartbeats were late, instances lost each other, and holders changed once a second.

Ruled out: takeovers as the cause (the log shows no configuration in force after the power returned, and the holders' rows written and lost by time-outs).

--- a/core/http/http_connection.cc
+++ b/core/http/http_connection.cc
@@ -39,6 +39,10 @@
     Connect(connect_timeout);
   }
 
+  auto SetBodyTimeout(milliseconds body_timeout) -> void {
+    body_timeout_ = body_timeout;
+  }
+
   auto IsBusy() const -> bool { return done_ != nullptr; }
 
   auto IsReusable() -> bool {
@@ -116,18 +120,36 @@
   auto Read() -> void {
     parser_.emplace();
     parser_->body_limit(kMaxResponseBytes);
-    http::async_read(stream_, buffer_, *parser_,
-                     [self = shared_from_this()](boost::system::error_code ec,
-                                                 size_t) { self->OnRead(ec); });
+    http::async_read_header(
+        stream_, buffer_, *parser_,
+        [self = shared_from_this()](boost::system::error_code ec, size_t) {
+          self->parser_->eager(true);
+          self->OnPart(ec);
+        });
   }
 
-  auto OnRead(boost::system::error_code ec) -> void {
+  auto OnPart(boost::system::error_code ec) -> void {
     if (ec) {
       const auto closed = ec == http::error::end_of_stream ||
                           ec == asio::error::connection_reset;
       Fail(closed ? HttpError::Kind::kClosed : HttpError::Kind::kProtocol, ec);
       return;
     }
+    if (parser_->is_done()) {
+      Complete();
+      return;
+    }
+    if (body_timeout_ > milliseconds{0}) {
+      stream_.expires_after(body_timeout_);
+    }
+    http::async_read_some(
+        stream_, buffer_, *parser_,
+        [self = shared_from_this()](boost::system::error_code result, size_t) {
+          self->OnPart(result);
+        });
+  }
+
+  auto Complete() -> void {
     auto message = parser_->release();
     HttpResponse response;
     response.status = static_cast<int>(message.result_int());
@@ -168,6 +190,7 @@
   std::optional<http::response_parser<http::string_body>> parser_;
   HttpCompletion done_;
   milliseconds answer_timeout_{};
+  milliseconds body_timeout_{};  // 0: covered by the answer timeout
   bool connected_ = false;
   bool sent_ = false;
 };
@@ -196,6 +219,10 @@
                std::move(done));
 }
 
+auto HttpConnection::SetBodyTimeout(milliseconds body_timeout) -> void {
+  state_->SetBodyTimeout(body_timeout);
+}
+
 auto HttpConnection::IsReusable() const -> bool {
   return state_->IsReusable();
 }
--- a/core/http/http_connection.h
+++ b/core/http/http_connection.h
@@ -47,6 +47,10 @@
             milliseconds connect_timeout,
             milliseconds answer_timeout,
             HttpCompletion done) -> void;
+  // Sets the time within which each part of a response's body must arrive once
+  // its header has; the answer timeout then covers the header only. For large
+  // bodies on slow links. Without it, the answer timeout covers the body, too.
+  auto SetBodyTimeout(milliseconds body_timeout) -> void;
   // Reports whether the connection is open, has no request in progress, and the
   // peer has neither closed it nor sent unrequested data.
   auto IsReusable() const -> bool;
--- a/main/entry/entry_state.h
+++ b/main/entry/entry_state.h
@@ -23,6 +23,7 @@
 #include "platform/worker_client.h"
 #include "servers/intake/intake.h"
 #include "servers/routing/routes.h"
+#include "servers/routing/routes_refresh.h"
 #include "servers/scheduling/scheduler.h"
 #include "servers/succession/succession.h"
 
@@ -33,7 +34,6 @@
   InstanceRef peer;
   bool opened = false;  // whether this instance opened the connection
   std::vector<GroupStatus> groups;  // groups held by the peer, as last reported
-  Instant snapshot_requested_at;
 };
 
 // The caller that waits for a job's answer.
@@ -59,6 +59,7 @@
   InstanceRef self;
 
   RouteTable routes;
+  RoutesRefresh routes_refresh;
   std::string routes_document;  // as received from the store or a peer
   std::map<std::string, WorkerEntry> directory;
   // When the row of each departed worker was removed from the store.
@@ -81,6 +82,8 @@
   std::unique_ptr<platform::StoreClient> store;
   std::shared_ptr<platform::TableFollower> operator_rows;
   std::shared_ptr<platform::TableFollower> worker_rows;
+  Instant snapshot_requested_at;
+  uint64_t snapshot_requests = 0;
   bool follows_workers = false;
   Instant workers_needed_at;  // last time at which they were needed
   std::shared_ptr<platform::TableFollower> group_rows;
--- a/main/entry/peer_flow.cc
+++ b/main/entry/peer_flow.cc
@@ -50,7 +50,8 @@
 
 auto Handle(EntryState& state, LinkId link, HeartbeatMessage& message) -> void {
   auto& peer = state.peers.at(link);
-  if (message.configuration_version > state.routes.version) {
+  if (ShouldRequestRoutes(state.routes_refresh, state.routes.version,
+                          message.configuration_version, BootClock::now())) {
     state.link->Send(link,
                      RoutesRequest{.known_version = state.routes.version});
   }
--- a/main/entry/store_flow.cc
+++ b/main/entry/store_flow.cc
@@ -160,6 +160,7 @@
     return;
   }
   state.routes_document = document;
+  OnRoutesAdopted(state.routes_refresh);
   Log(LogLevel::kInfo, "configuration_in_force", {{"version", version}});
 }
 
--- a/main/entry/succession_flow.cc
+++ b/main/entry/succession_flow.cc
@@ -19,7 +19,7 @@
 // before a peer is asked for a snapshot.
 constexpr milliseconds kSnapshotRequestDelay{800};
 // Interval after which an unanswered request for a snapshot is sent again.
-constexpr milliseconds kSnapshotRetryInterval{1000};
+constexpr milliseconds kSnapshotRetryInterval{2000};
 // Groups whose jobs have not ended this long after their release began are
 // released together with these jobs.
 constexpr milliseconds kMaxReleaseTime{1300};
@@ -146,6 +146,7 @@
       now - state.succession.started < kSnapshotRequestDelay) {
     return;
   }
+  std::vector<LinkId> connected;
   for (const auto& seed : state.settings.seeds) {
     if (seed == state.self.address) {
       continue;
@@ -153,14 +154,18 @@
     const auto id = state.link->LinkTo(seed);
     if (id == 0) {
       state.link->Connect(seed);
-      continue;
-    }
-    auto& peer = state.peers.at(id);
-    if (now - peer.snapshot_requested_at >= kSnapshotRetryInterval) {
-      peer.snapshot_requested_at = now;
-      state.link->Send(id, SnapshotRequest{});
+    } else {
+      connected.push_back(id);
     }
   }
+  if (connected.empty() ||
+      now - state.snapshot_requested_at < kSnapshotRetryInterval) {
+    return;
+  }
+  // One at a time: several copies would share this instance's link.
+  state.snapshot_requested_at = now;
+  const auto id = connected[state.snapshot_requests++ % connected.size()];
+  state.link->Send(id, SnapshotRequest{});
 }
 
 // Returns since when the group is being released; empty when it is kept.
--- a/tests/core/http/http_test.cc
+++ b/tests/core/http/http_test.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/connect.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <thread>
 
@@ -169,6 +170,68 @@
   EXPECT_FALSE(result.error().request_sent);
 }
 
+// A peer whose response takes 300 ms to arrive, a sixth of its body each 50 ms.
+class SlowBody : public testing::Test {
+ protected:
+  void SetUp() override {
+    acceptor.async_accept([this](boost::system::error_code, tcp::socket peer) {
+      socket = std::move(peer);
+      Write("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n");
+      SendPart(6);
+    });
+  }
+
+  auto Write(const std::string& text) -> void {
+    boost::system::error_code ignored;
+    asio::write(socket, asio::buffer(text), ignored);
+  }
+
+  auto SendPart(int left) -> void {
+    if (left == 0) {
+      return;
+    }
+    timer.expires_after(milliseconds{50});
+    timer.async_wait([this, left](boost::system::error_code) {
+      Write("x");
+      SendPart(left - 1);
+    });
+  }
+
+  // Returns the body that arrives with an answer timeout of 120 ms.
+  auto Receive(milliseconds body_timeout) -> std::string {
+    HttpConnection connection(
+        context, {.ip = "127.0.0.1", .port = acceptor.local_endpoint().port()});
+    connection.SetBodyTimeout(body_timeout);
+    std::string body = "none";
+    HttpRequest request;
+    request.method = "GET";
+    request.target = "/";
+    connection.Send(request, seconds(5), milliseconds{120},
+                    [&](Result<HttpResponse, HttpError> result) {
+                      body = result.has_value() ? result.value().body : "late";
+                      context.stop();
+                    });
+    context.run_for(seconds(5));
+    return body;
+  }
+
+  using tcp = asio::ip::tcp;
+  asio::io_context context;
+  tcp::acceptor acceptor{context, {asio::ip::address_v4::loopback(), 0}};
+  tcp::socket socket{context};
+  asio::steady_timer timer{context};
+};
+
+// Guards against answers that never arrive: the configuration takes longer on a
+// slow link than the answer timeout, and each retry began at its start.
+TEST_F(SlowBody, ArrivesWhileItsPartsKeepComing) {
+  EXPECT_EQ(Receive(milliseconds{2000}), "xxxxxx");
+}
+
+TEST_F(SlowBody, IsGivenUpAtAnswerTimeoutByDefault) {
+  EXPECT_EQ(Receive(milliseconds{0}), "late");
+}
+
 TEST(HttpMessageTest, SplitsTargetIntoPathAndQuery) {
   EXPECT_EQ(TargetPath("/v1/jobs?wait_ms=5"), "/v1/jobs");
   EXPECT_EQ(QueryParameter("/v1/jobs?a=1&wait_ms=5", "wait_ms"), "5");
