--- a/servers/scheduling/placement.cc
+++ b/servers/scheduling/placement.cc
@@ -24,16 +24,13 @@
 // of the time until its latest useful end. Waiting for 1/5 or 1/3 served fewer
 // jobs.
 constexpr int kFastWorkerWaitDivisor = 8;
-// Run time from which a task counts as long. A worker of speed 0.6 runs such a
-// task for most of the 1.5 s that callers wait.
-constexpr milliseconds kLongTaskRunTime{500};
+// Run time from which a task counts as long. A shorter task ends before its
+// caller leaves on any worker, even if it takes twice its expected time.
+constexpr milliseconds kLongTaskRunTime{350};
 // Workers with at least this share of the fastest worker's speed count as being
 // among the fastest.
 constexpr double kNearFastestSpeedShare = 0.85;
 
-// Run time from which a task takes the fastest worker while there is spare
-// capacity on the fast ones. A shorter task ends in time on any worker.
-constexpr milliseconds kFastFirstRunTime{350};
 // Fast workers have spare capacity while less than this share of it is used.
 constexpr double kSpareUsedShare = 0.65;
 
@@ -108,7 +105,7 @@
 // worker until then.
 auto ShouldWaitForFastWorker(const PlacementRequest& request, Instant now)
     -> bool {
-  return request.run_time >= milliseconds{350} &&
+  return request.run_time >= kLongTaskRunTime &&
          now - request.arrived <
              (request.latest - request.arrived) / kFastWorkerWaitDivisor;
 }
@@ -125,7 +122,7 @@
   return fastest;
 }
 
-// Reports whether most of the capacity of the fastest workers is unused.
+// Reports whether the fastest workers have spare capacity.
 //
 // Handles quiet load: a long task then takes the fastest worker, and not the
 // slowest one that is probably fast enough, because its run time is uncertain.
@@ -208,7 +205,7 @@
   const auto fastest = FastestSpeed(workers, times, request.service);
   const auto wait_for_fast = ShouldWaitForFastWorker(request, now);
   const auto prefer_fast =
-      request.run_time >= kFastFirstRunTime &&
+      request.run_time >= kLongTaskRunTime &&
       HasSpareFastCapacity(workers, times, request.service, fastest);
   WorkerAccount* best = nullptr;
   Preference best_preference;
