Show that the last instance never takes its group back after a restart

Cause: a restarted instance never marks its own former process as ended, so it does not take over the group that this process held; only another instance would do it.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/bin/boragecroft_entryd ] && [ -x review/bin/case_5 ] || exit 2
+timeout 110 review/bin/case_5 review/5
+code=$?
+[ "$code" -le 1 ] && exit "$code"
+exit 2
--- a/review/lab/lab.cc
+++ b/review/lab/lab.cc
@@ -687,6 +687,22 @@
   }
 }
 
+auto Lab::Terminate(Instance& instance) -> void {
+  constexpr int64_t kGraceMs = 6000;
+  kill(instance.pid, SIGTERM);
+  record_.Line(instance.name + ": SIGTERM");
+  const auto sent = record_.Now();
+  while (record_.Now() - sent < kGraceMs) {
+    RunFor(milliseconds(50));
+    if (waitpid(instance.pid, nullptr, WNOHANG) == instance.pid) {
+      instance.pid = 0;
+      record_.Line(instance.name + ": ended");
+      return;
+    }
+  }
+  Kill(instance);
+}
+
 auto Lab::RunFor(milliseconds time) -> void {
   context_.run_for(time);
 }
--- a/review/lab/lab.h
+++ b/review/lab/lab.h
@@ -233,6 +233,8 @@
 
   auto Spawn(Instance& instance) -> void;
   auto Kill(Instance& instance) -> void;
+  // Sends SIGTERM and waits for the end of the process; SIGKILL after 6 s.
+  auto Terminate(Instance& instance) -> void;
 
   auto RunFor(milliseconds time) -> void;
   // Sends a request of a client; the reply is filled in when it arrives.
