Show starts on draining workers after the store was silent for a second

Cause: a request for changes that was lost in the outage is awaited for 5.9 s, and the holder does not read the workers' table meanwhile.

--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -1,6 +1,5 @@
-// The open connections to the store go silent. The holder of a group does not
-// read the workers' entries for seconds, and starts tasks on a worker that
-// drains.
+// The store is silent for a second. The holder of a group waits for one answer
+// of that second until long after, and starts tasks on a worker that drains.
 #include <algorithm>
 #include <iostream>
 
@@ -24,18 +23,22 @@
     lab.Register(*workers.back());
   }
   for (const auto* name : {"north-1", "north-2"}) {
-    lab.Spawn(lab.AddInstance(name, "north", true));
+    lab.Spawn(lab.AddInstance(name, "north"));
   }
   if (!lab.AwaitService()) {
     lab.GetRecord().Line("not served");
     return kNotRun;
   }
   lab.RunFor(milliseconds(4000));
-  const auto silent_at = lab.GetRecord().Now();
   if (Trouble()) {
-    lab.SilenceStoreConnections();
+    lab.GetStore().SetSilent(true);
   }
-  lab.RunFor(milliseconds(700));
+  lab.RunFor(milliseconds(1000));
+  if (Trouble()) {
+    lab.GetStore().SetSilent(false);
+  }
+  const auto stable_from = lab.GetRecord().Now() + kContactMs;
+  lab.RunFor(milliseconds(1500));
   lab.Register(*workers.front(), true);
   const auto accepted_at = lab.GetRecord().Now();
   // Traffic: five jobs of eight tasks a second, as many as the workers hold.
@@ -45,8 +48,7 @@
     lab.RunFor(milliseconds(200));
   }
   lab.RunFor(milliseconds(1000));
-  const auto from =
-      std::max(accepted_at + kDrainMs, silent_at + kContactMs) + 1;
+  const auto from = std::max(accepted_at + kDrainMs, stable_from) + 1;
   auto late = 0;
   auto others = 0;
   for (const auto& it : lab.Runs()) {
@@ -61,8 +63,8 @@
     lab.GetRecord().Line("DRAIN: " + it.task + " began on " + it.worker + " " +
                          std::to_string(it.began - accepted_at) +
                          " ms after the store accepted `draining`, " +
-                         std::to_string(it.began - silent_at) +
-                         " ms after the connections went silent");
+                         std::to_string(it.began - stable_from + kContactMs) +
+                         " ms after the store answers again");
   }
   lab.GetRecord().Line(std::to_string(late) +
                        " late starts on the draining worker, " +
--- a/review/lab/lab.cc
+++ b/review/lab/lab.cc
@@ -120,6 +120,11 @@
   record_.Line("store: " + name + (refused ? " is turned away" : " is served"));
 }
 
+auto Store::SetSilent(bool silent) -> void {
+  silent_ = silent;
+  record_.Line(silent ? "store: silent" : "store: answers again");
+}
+
 auto Store::Put(const std::string& table,
                 const std::string& key,
                 const std::string& text) -> void {
@@ -205,10 +210,15 @@
                   context_, milliseconds(static_cast<int64_t>(wait)))});
   auto it = std::prev(waiting_.end());
   it->timer->async_wait([this, it](boost::system::error_code ec) {
-    if (!ec) {
+    if (ec) {
+      return;
+    }
+    if (silent_) {
+      unanswered_.push_back(std::move(it->respond));
+    } else {
       it->respond(Page({}));
-      waiting_.erase(it);
     }
+    waiting_.erase(it);
   });
 }
 
@@ -243,6 +253,10 @@
 auto Store::Serve(const std::string& name,
                   const HttpRequest& request,
                   HttpResponder respond) -> void {
+  if (silent_) {
+    unanswered_.push_back(std::move(respond));
+    return;
+  }
   if (refused_[name]) {
     respond(JsonReply(503, {}));
     return;
@@ -593,7 +607,7 @@
     }
     for (auto& it : workers_) {
       const auto known = registered_.find(it.Id());
-      if (known != registered_.end()) {
+      if (known != registered_.end() && !store_->IsSilent()) {
         store_->Put("servers", it.Id(), it.Report(known->second));
       }
     }
--- a/review/lab/lab.h
+++ b/review/lab/lab.h
@@ -58,6 +58,10 @@
   // While `refused` is set, calls of the instance `name` get 503 and nothing is
   // done.
   auto Refuse(const std::string& name, bool refused) -> void;
+  auto IsSilent() const -> bool { return silent_; }
+  // While it is silent, calls get no answer, and their connections deliver
+  // nothing further. The operator and the workers don't reach it either.
+  auto SetSilent(bool silent) -> void;
   // Writes or removes a row as the operator or a worker does.
   auto Put(const std::string& table,
            const std::string& key,
@@ -96,6 +100,8 @@
   std::map<std::string, std::map<std::string, Row>> tables_;
   std::list<Waiting> waiting_;
   std::map<std::string, bool> refused_;
+  bool silent_ = false;
+  std::vector<HttpResponder> unanswered_;
   std::string last_writer_;
   std::vector<std::unique_ptr<HttpServer>> servers_;
 };
