--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -49,10 +49,15 @@
       workers.push_back(&worker);
     }
   }
+  // One of ten instances will freeze: a share of 0.1.
   auto& north = lab.AddInstance("north-1", "north");
   auto& south = lab.AddInstance("south-1", "south");
-  lab.Spawn(north);
-  lab.Spawn(south);
+  for (auto i = 2; i < 10; ++i) {
+    lab.AddInstance("south-" + std::to_string(i), "south");
+  }
+  for (auto& it : lab.Instances()) {
+    lab.Spawn(it);
+  }
   if (!lab.AwaitService()) {
     lab.GetRecord().Line("not served");
     return kNotRun;
