--- a/main/entry/entry_instance.cc
+++ b/main/entry/entry_instance.cc
@@ -149,19 +149,9 @@
   SuccessionCommands succession;
   OnTime(state.succession, now, succession);
   RunSuccessionCommands(state, succession);
-  std::vector<std::string> groups;
-  for (const auto& [group, scheduler] : state.schedulers) {
-    groups.push_back(group);
-  }
-  for (const auto& group : groups) {
-    const auto held_group = state.schedulers.find(group);
-    if (held_group == state.schedulers.end()) {
-      continue;
-    }
-    SchedulerCommands commands;
-    OnTime(held_group->second, now, commands);
-    RunSchedulerCommands(state, group, commands);
-  }
+  ForEachHeldGroup(state, [&](Scheduler& scheduler, SchedulerCommands& out) {
+    OnTime(scheduler, now, out);
+  });
   IntakeCommands intake;
   OnTime(state.intake, now, intake);
   RunIntakeCommands(state, intake);
--- a/main/entry/group_flow.cc
+++ b/main/entry/group_flow.cc
@@ -153,6 +153,24 @@
   }
 }
 
+auto ForEachHeldGroup(
+    EntryState& state,
+    const std::function<void(Scheduler&, SchedulerCommands&)>& event) -> void {
+  std::vector<std::string> groups;
+  for (const auto& [group, scheduler] : state.schedulers) {
+    groups.push_back(group);
+  }
+  for (const auto& group : groups) {
+    const auto held_group = state.schedulers.find(group);
+    if (held_group == state.schedulers.end()) {
+      continue;
+    }
+    SchedulerCommands commands;
+    event(held_group->second, commands);
+    RunSchedulerCommands(state, group, commands);
+  }
+}
+
 auto BeginGroup(EntryState& state, const std::string& group, uint64_t token)
     -> void {
   Log(LogLevel::kInfo, "group_held", {{"group", group}, {"token", token}});
@@ -207,6 +225,15 @@
   }
 }
 
+auto OnWorkersRead(EntryState& state, Instant known_until) -> void {
+  const auto now = BootClock::now();
+  HandleSuspension(state, now);
+  ForEachHeldGroup(state, [&](Scheduler& scheduler, SchedulerCommands& out) {
+    OnWorkersKnown(scheduler, known_until, now, out);
+  });
+  ArmDueTimer(state);
+}
+
 auto RemoveDepartedWorkers(EntryState& state, Instant now) -> void {
   std::vector<std::string> departed;
   for (const auto& [id, since] : state.departed_at) {
--- a/main/entry/group_flow.h
+++ b/main/entry/group_flow.h
@@ -4,6 +4,8 @@
 #ifndef MAIN_ENTRY_GROUP_FLOW_H_
 #define MAIN_ENTRY_GROUP_FLOW_H_
 
+#include <functional>
+
 #include "main/entry/entry_state.h"
 
 namespace boragecroft {
@@ -12,6 +14,11 @@
 auto RunSchedulerCommands(EntryState& state,
                           const std::string& group,
                           const SchedulerCommands& commands) -> void;
+// Passes an event to the scheduler of each held group and executes the commands
+// that it returns. They may end the holding of groups.
+auto ForEachHeldGroup(
+    EntryState& state,
+    const std::function<void(Scheduler&, SchedulerCommands&)>& event) -> void;
 // Starts scheduling for `group` after this instance became its holder with the
 // fencing token `token`.
 auto BeginGroup(EntryState& state, const std::string& group, uint64_t token)
@@ -24,6 +31,8 @@
 // Handles the removal of a worker's row from the store. The worker is kept
 // until RemoveDepartedWorkers finds its grace period over.
 auto OnWorkerReportRemoved(EntryState& state, const std::string& id) -> void;
+// Handles that all changes of workers' rows before `known_until` were reported.
+auto OnWorkersRead(EntryState& state, Instant known_until) -> void;
 // Removes the workers whose row has been missing for the grace period.
 auto RemoveDepartedWorkers(EntryState& state, Instant now) -> void;
 
--- a/main/entry/store_flow.cc
+++ b/main/entry/store_flow.cc
@@ -83,7 +83,8 @@
                   const std::string& table,
                   milliseconds pause,
                   void (*on_row)(EntryState&, const platform::StoreRow&),
-                  std::function<void()> on_complete)
+                  std::function<void()> on_complete,
+                  std::function<void(Instant known_until)> on_current)
     -> std::shared_ptr<platform::TableFollower> {
   platform::TableCallbacks callbacks;
   callbacks.on_row = [&state, on_row](const platform::StoreRow& row) {
@@ -91,6 +92,7 @@
     ArmDueTimer(state);
   };
   callbacks.on_complete = std::move(on_complete);
+  callbacks.on_current = std::move(on_current);
   callbacks.on_availability_changed = [](bool /*available*/) {};
   return std::make_shared<platform::TableFollower>(
       state.context, *state.store, table, pause, std::move(callbacks));
@@ -113,15 +115,20 @@
 auto FollowStore(EntryState& state) -> void {
   state.store = std::make_unique<platform::StoreClient>(state.context,
                                                         state.settings.store);
-  state.operator_rows = MakeFollower(state, platform::kOperatorTable,
-                                     kNoFeedPause, OnOperatorRow, [] {});
-  state.worker_rows = MakeFollower(state, platform::kWorkerTable,
-                                   kWorkerFeedPause, OnWorkerRow, [] {});
-  state.group_rows = MakeFollower(state, platform::kGroupTable, kNoFeedPause,
-                                  OnGroupTableRow, [&state] {
-                                    state.succession.rows_known = true;
-                                    ArmDueTimer(state);
-                                  });
+  const auto ignore_time = [](Instant /*known_until*/) {};
+  state.operator_rows = MakeFollower(
+      state, platform::kOperatorTable, kNoFeedPause, OnOperatorRow, [] {},
+      ignore_time);
+  state.worker_rows = MakeFollower(
+      state, platform::kWorkerTable, kWorkerFeedPause, OnWorkerRow, [] {},
+      [&state](Instant known_until) { OnWorkersRead(state, known_until); });
+  state.group_rows = MakeFollower(
+      state, platform::kGroupTable, kNoFeedPause, OnGroupTableRow,
+      [&state] {
+        state.succession.rows_known = true;
+        ArmDueTimer(state);
+      },
+      ignore_time);
   state.operator_rows->Start();
   state.group_rows->Start();
 }
@@ -147,6 +154,12 @@
   state.group_changed_at.clear();
 }
 
+auto ReadWorkersNow(EntryState& state) -> void {
+  if (state.follows_workers) {
+    state.worker_rows->Refresh();
+  }
+}
+
 auto AdoptConfiguration(EntryState& state, const std::string& document)
     -> void {
   auto routes = platform::DecodeConfiguration(document);
--- a/main/entry/store_flow.h
+++ b/main/entry/store_flow.h
@@ -13,6 +13,10 @@
 // among its first successors, and some time longer. Call it once per heartbeat
 // interval and when this instance begins to hold a group.
 auto FollowWorkersIfNeeded(EntryState& state, Instant now) -> void;
+// Requests the changes of the workers at once, if they are followed. Call it
+// when this instance begins to hold a group: its former holder may know workers
+// that this instance does not know yet.
+auto ReadWorkersNow(EntryState& state) -> void;
 // Adopts a configuration document from the store or a peer. Ignores a document
 // that is not newer than the present one; logs an error when it cannot be read.
 auto AdoptConfiguration(EntryState& state, const std::string& document) -> void;
--- a/main/entry/succession_flow.cc
+++ b/main/entry/succession_flow.cc
@@ -55,6 +55,7 @@
 auto Execute(EntryState& state, const BeginHolding& command) -> void {
   BeginGroup(state, command.group, command.token);
   FollowWorkersIfNeeded(state, BootClock::now());
+  ReadWorkersNow(state);
   state.link->Broadcast(HolderAnnouncement{
       .group = command.group,
       .holder = {.instance = state.self, .token = command.token}});
--- a/servers/scheduling/scheduler.h
+++ b/servers/scheduling/scheduler.h
@@ -153,10 +153,13 @@
   uint64_t token = 0;    // first fencing token of this term
   Instant since;         // start of this term
   bool leaving = false;  // set when the holder accepts no more jobs
-  // Set when the workers are the same as those of the previous holder: none was
-  // added or removed. Only then does fencing all of them prove that no other
-  // run exists.
+  // Set when no worker was added or removed recently, so that none is missing
+  // for a moment only.
   bool workers_stable = false;
+  // Every change of the workers' entries before this time is known. Fencing all
+  // known workers proves that no earlier holder has a run only if this time is
+  // in the present term.
+  Instant workers_known_until;
   // Time at which a reachable worker last left a renewal unanswered.
   Instant renewal_lost_at;
   WorkerAccounts workers;
@@ -186,6 +189,12 @@
                    SchedulerCommands& out) -> void;
 // Handles the removal of a worker's entry.
 auto OnWorkerRemoved(Scheduler& state, const std::string& id) -> void;
+// Handles that all changes of workers' entries before `known_until` have been
+// passed to the functions above.
+auto OnWorkersKnown(Scheduler& state,
+                    Instant known_until,
+                    Instant now,
+                    SchedulerCommands& out) -> void;
 
 auto OnOffer(Scheduler& state,
              OriginId origin,
--- a/servers/scheduling/waiting.cc
+++ b/servers/scheduling/waiting.cc
@@ -68,8 +68,10 @@
 }
 
 // Reports whether no run of an earlier holder can be in progress on any worker.
+// An earlier holder may have used workers of which this instance has not read
+// yet, so the workers must have been read since the term began.
 auto IsFenceComplete(const Scheduler& state) -> bool {
-  if (!state.workers_stable) {
+  if (!state.workers_stable || state.workers_known_until < state.since) {
     return false;
   }
   return std::all_of(
--- a/servers/scheduling/worker_events.cc
+++ b/servers/scheduling/worker_events.cc
@@ -196,6 +196,17 @@
   it->second.reachable = false;
 }
 
+auto OnWorkersKnown(Scheduler& state,
+                    Instant known_until,
+                    Instant now,
+                    SchedulerCommands& out) -> void {
+  const auto first_of_term = state.workers_known_until < state.since;
+  state.workers_known_until = std::max(state.workers_known_until, known_until);
+  if (first_of_term && state.workers_known_until >= state.since) {
+    detail::StartWaitingTasks(state, now, out);
+  }
+}
+
 auto OnStartAnswer(Scheduler& state,
                    const StartCommand& order,
                    OrderAnswer answer,
--- a/tests/platform/table_follower_test.cc
+++ b/tests/platform/table_follower_test.cc
@@ -45,6 +45,7 @@
       seen.push_back((row.deleted ? "-" : "+") + row.key);
     };
     callbacks.on_complete = [this] { ++completed; };
+    callbacks.on_current = [this](Instant until) { known_until = until; };
     callbacks.on_availability_changed = [](bool /*available*/) {};
     follower = std::make_shared<TableFollower>(
         context, *store, "servers", milliseconds{0}, std::move(callbacks));
@@ -69,6 +70,7 @@
   std::vector<std::string> feed_answers;
   std::vector<HttpResponder> waiting;
   std::vector<std::string> seen;
+  Instant known_until;
   int reads = 0;
   int completed = 0;
 };
--- a/tests/servers/scheduling/hand_over_model.cc
+++ b/tests/servers/scheduling/hand_over_model.cc
@@ -140,6 +140,7 @@
   SchedulerCommands out;
   BeginTerm(state.holders[holder], (holder + 1) * kTokensPerTerm,
             {EntryOf(state, 0), EntryOf(state, 1)}, true, state.now, out);
+  OnWorkersKnown(state.holders[holder], state.now, state.now, out);
   OnOffer(state.holders[holder], 1, MakeOffer(static_cast<uint32_t>(holder)),
           state.now, out);
   TakeCommands(state, holder, out);
--- a/tests/servers/scheduling/term_test.cc
+++ b/tests/servers/scheduling/term_test.cc
@@ -47,6 +47,7 @@
 
 TEST_F(ResubmittedJob, WaitsUntilWorkersAreFencedAndInheritedRunsEnd) {
   const auto renewals = TakeOver(true);
+  OnWorkersKnown(state, now, now, out);
   Offer(MakeResubmission());
   AnswerRenewal(renewals[0], {{.task = {JobName{9}, 0}, .attempt = 1}}, {});
   AnswerRenewal(renewals[1], {}, {});
@@ -69,6 +70,7 @@
 // started again. Seen in a bench run.
 TEST_F(ResubmittedJob, WaitsLongerWhenWorkersMayBeMissing) {
   const auto renewals = TakeOver(false);
+  OnWorkersKnown(state, now, now, out);
   Offer(MakeResubmission());
   AnswerRenewal(renewals[0], {}, {});
   AnswerRenewal(renewals[1], {}, {});
@@ -76,6 +78,30 @@
   EXPECT_TRUE(Take<StartCommand>().empty());
 }
 
+// Guards against two runs of one task after a takeover by an instance that
+// could not read the store: workers that only the former holder knew still ran
+// the task when every known worker was fenced.
+TEST_F(ResubmittedJob, WaitsLongerWhenWorkersWereNotReadInThisTerm) {
+  const auto renewals = TakeOver(true);
+  Offer(MakeResubmission());
+  AnswerRenewal(renewals[0], {}, {});
+  AnswerRenewal(renewals[1], {}, {});
+  AdvanceTime(milliseconds{1200});
+  EXPECT_TRUE(Take<StartCommand>().empty());
+}
+
+TEST_F(ResubmittedJob, StartsWhenWorkersAreReadAfterTheyWereFenced) {
+  const auto renewals = TakeOver(true);
+  Offer(MakeResubmission());
+  AnswerRenewal(renewals[0], {}, {});
+  AnswerRenewal(renewals[1], {}, {});
+  OnWorkersKnown(state, now - milliseconds{1}, now, out);
+  EXPECT_TRUE(Take<StartCommand>().empty());
+  now += milliseconds{20};
+  OnWorkersKnown(state, now - milliseconds{10}, now, out);
+  EXPECT_EQ(Take<StartCommand>().size(), 1);
+}
+
 // Guards against a wait that is counted from the takeover. The takeover was
 // long ago, but the former holder of the job had been alive until just before
 // the hand-over. Seen in a bench run.
--- a/tests/servers/scheduling/virtual_workers.cc
+++ b/tests/servers/scheduling/virtual_workers.cc
@@ -90,6 +90,7 @@
   SchedulerCommands commands;
   BeginTerm(holders_[index]->scheduler, (index + 1) * kTokensPerTerm, entries,
             stable, now_, commands);
+  OnWorkersKnown(holders_[index]->scheduler, now_, now_, commands);
   Run(index, commands);
   return *holders_[index];
 }
