--- a/servers/succession/succession.cc
+++ b/servers/succession/succession.cc
@@ -114,7 +114,11 @@
     return;
   }
   if (!same) {
-    term.status = HolderStatus::kUnknown;
+    // Only one process can listen at this instance's address, so a former
+    // holder there has terminated. No connection would show that.
+    term.status = holder.instance.address == state.self.address
+                      ? HolderStatus::kTerminated
+                      : HolderStatus::kUnknown;
     term.status_since = now;
   }
   if (term.held) {
@@ -124,6 +128,15 @@
   }
 }
 
+// Ends the holding of a group. Until another holder becomes known, the group
+// has none, so this instance may take it back later.
+auto Relinquish(GroupTerm& term, Instant now) -> void {
+  term.held = false;
+  term.status = HolderStatus::kTerminated;
+  term.status_since = now;
+  term.not_before = now + kReacquireDelay;
+}
+
 // Returns the token that is reserved for this instance if it is still higher
 // than the holder's.
 auto ReservedToken(const Succession& state, const GroupTerm& term)
@@ -161,6 +174,9 @@
       return kRankDelay * static_cast<int64_t>(i);
     }
   }
+  if (term.row->holder.address == state.self.address) {
+    return kRankDelay * static_cast<int64_t>(successors.size());
+  }
   const auto jitter =
       milliseconds(state.jitter % static_cast<uint64_t>(kJitter.count()));
   return jitter +
@@ -306,9 +322,7 @@
 
 auto OnReleased(Succession& state, const std::string& group, Instant now)
     -> void {
-  auto& term = state.groups[group];
-  term.held = false;
-  term.not_before = now + kReacquireDelay;
+  Relinquish(state.groups[group], now);
 }
 
 auto NeedsWorkers(const Succession& state) -> bool {
@@ -337,10 +351,7 @@
   if (!term.held) {
     return;
   }
-  term.held = false;
-  term.status = HolderStatus::kUnknown;
-  term.status_since = now;
-  term.not_before = now + kReacquireDelay;
+  Relinquish(term, now);
   out.push_back(EndHolding{group});
 }
 
--- a/servers/succession/succession.h
+++ b/servers/succession/succession.h
@@ -55,7 +55,8 @@
   kReachable,
   kUnresponsive,  // no message arrives, but the connection was not reset
   kTerminated,    // its process has terminated: the connection was refused, or
-                  // another process answers
+                  // another process answers; or this instance was the holder
+                  // and has given the group up
 };
 
 struct GroupTerm {
--- a/tests/servers/succession/succession_test.cc
+++ b/tests/servers/succession/succession_test.cc
@@ -157,6 +157,36 @@
   EXPECT_TRUE(out.empty());
 }
 
+// The row names the former process of this instance as the holder.
+class RestartedHolder : public SuccessionFixture {
+ protected:
+  auto Restart(std::vector<Successor> successors) -> void {
+    auto former = self;
+    former.incarnation = Incarnation{77};
+    OnGroupRow(state, Row(5, former, 10, std::move(successors)), now, out);
+    out.clear();
+  }
+};
+
+// Guards against a group without a holder: the last instance was killed and
+// started again, and waited for the end of its own former process.
+TEST_F(RestartedHolder, TakesGroupBackWhenNoOtherInstanceIsLeft) {
+  Restart({});
+  AdvanceTime(milliseconds{100});
+  const auto writes = Take<WriteGroupRow>(out);
+  ASSERT_EQ(writes.size(), 1);
+  EXPECT_EQ(writes[0].row.version, 5);
+  EXPECT_GT(writes[0].row.token, 10);
+}
+
+TEST_F(RestartedHolder, LeavesGroupToSuccessorsFirst) {
+  Restart({{other, 11}, {third, 12}});
+  AdvanceTime(milliseconds{400});
+  EXPECT_TRUE(out.empty());
+  AdvanceTime(milliseconds{200});
+  EXPECT_EQ(Take<WriteGroupRow>(out).size(), 1);
+}
+
 class CurrentHolder : public LostHolder {
  protected:
   void SetUp() override {
@@ -189,6 +219,27 @@
   EXPECT_TRUE(out.empty());
 }
 
+// Guards against a group without a holder: the instance that fenced this one
+// ended before it wrote the row, and no other instance is left.
+TEST_F(CurrentHolder, TakesGroupBackWhenNoInstanceFollowsAfterFence) {
+  OnFenced(state, "north", now, out);
+  out.clear();
+  AdvanceTime(milliseconds{3000});
+  EXPECT_TRUE(out.empty());
+  AdvanceTime(milliseconds{1000});
+  EXPECT_EQ(Take<WriteGroupRow>(out).size(), 1);
+}
+
+// Guards against a group without a holder: the successor in whose favour the
+// group was released ended at the same time.
+TEST_F(CurrentHolder, TakesGroupBackWhenNoInstanceFollowsAfterRelease) {
+  OnReleased(state, "north", now);
+  AdvanceTime(milliseconds{3000});
+  EXPECT_TRUE(out.empty());
+  AdvanceTime(milliseconds{1000});
+  EXPECT_EQ(Take<WriteGroupRow>(out).size(), 1);
+}
+
 TEST_F(CurrentHolder, ReservesTokensForInstancesOfItsZone) {
   state.connected[third.address] = third;
   const auto outside = MakeInstance("outside", "south", 9);
