--- a/core/http/http_server.cc
+++ b/core/http/http_server.cc
@@ -153,6 +153,9 @@
       OnReadError(ec);
       return;
     }
+    if (state_->callbacks.on_abandoned && IsClosed()) {
+      return;
+    }
     request_.body = std::move(parser_->get().body());
     keep_alive_ = parser_->get().keep_alive();
     ++state_->active_requests;
--- a/core/http/http_server.h
+++ b/core/http/http_server.h
@@ -46,6 +46,8 @@
   std::function<void(HttpRequest request, HttpResponder respond)> on_request;
   // Called when the peer closes its connection before it has the response to
   // the request with this number. Optional; the responder may still be called.
+  // If set, a request whose peer has closed its connection before the request
+  // was read to its end is dropped: `on_request` is not called.
   std::function<void(uint64_t number)> on_abandoned;
   // Returns the response to a request that could not be read. Without this
   // callback the status is 400.
--- a/main/entry/job_flow.cc
+++ b/main/entry/job_flow.cc
@@ -5,6 +5,7 @@
 #include "core/log/log.h"
 #include "main/entry/entry_instance.h"
 #include "main/entry/group_flow.h"
+#include "main/entry/suspension.h"
 #include "platform/ingress.h"
 
 namespace boragecroft {
@@ -189,6 +190,7 @@
 auto OnCallerRequest(EntryState& state,
                      const HttpRequest& request,
                      HttpResponder respond) -> void {
+  HandleSuspension(state, BootClock::now());
   if (state.routes.version == 0) {
     respond(platform::EncodeRefusal(kRetryAfterDuringStartup,
                                     "no configuration yet"));
--- a/main/entry/store_flow.cc
+++ b/main/entry/store_flow.cc
@@ -6,6 +6,7 @@
 #include "main/entry/entry_instance.h"
 #include "main/entry/group_flow.h"
 #include "main/entry/succession_flow.h"
+#include "main/entry/suspension.h"
 #include "platform/configuration.h"
 #include "platform/group_rows.h"
 #include "platform/tables.h"
@@ -88,6 +89,7 @@
     -> std::shared_ptr<platform::TableFollower> {
   platform::TableCallbacks callbacks;
   callbacks.on_row = [&state, on_row](const platform::StoreRow& row) {
+    HandleSuspension(state, BootClock::now());
     on_row(state, row);
     ArmDueTimer(state);
   };
--- a/main/entry/succession_flow.cc
+++ b/main/entry/succession_flow.cc
@@ -39,6 +39,7 @@
       platform::EncodeGroupRow(command.row),
       [&state,
        row = command.row](Result<uint64_t, platform::StoreError> result) {
+        HandleSuspension(state, BootClock::now());
         if (result.has_error()) {
           Log(LogLevel::kInfo, "group_row_not_written",
               {{"group", row.group}, {"reason", result.error().reason}});
@@ -205,7 +206,10 @@
   HandoverLinkCallbacks callbacks;
   callbacks.on_open = [&state](LinkId link, const InstanceRef& peer,
                                bool opened) {
-    OnOpen(state, link, peer, opened);
+    HandleSuspension(state, BootClock::now());
+    if (state.link->LastHeard(link)) {
+      OnOpen(state, link, peer, opened);
+    }
     ArmDueTimer(state);
   };
   callbacks.on_message = [&state](LinkId link, HandoverMessage message) {
@@ -216,11 +220,13 @@
     }
   };
   callbacks.on_end = [&state](LinkId link, LinkEnd end) {
+    HandleSuspension(state, BootClock::now());
     OnEnd(state, link, end);
     ArmDueTimer(state);
   };
   callbacks.on_connect_failed = [&state](const Address& address,
                                          ConnectFailure failure) {
+    HandleSuspension(state, BootClock::now());
     OnConnectFailed(state, address, failure);
     ArmDueTimer(state);
   };
--- a/main/entry/suspension.cc
+++ b/main/entry/suspension.cc
@@ -1,5 +1,7 @@
 #include "main/entry/suspension.h"
 
+#include <utility>
+
 #include "core/log/log.h"
 
 namespace boragecroft {
@@ -20,12 +22,16 @@
       {{"for_ms",
         std::chrono::duration_cast<milliseconds>(now - state.last_heartbeat)
             .count()}});
+  const auto suspended_at = std::exchange(state.last_heartbeat, now);
   for (const auto& [link, peer] : state.peers) {
     for (auto& [group, scheduler] : state.schedulers) {
-      OnOriginLost(scheduler, link, state.last_heartbeat);
+      OnOriginLost(scheduler, link, suspended_at);
     }
   }
-  state.last_heartbeat = now;
+  OnSuspended(state.succession, now);
+  // The peers have given these connections up. What they sent before must not
+  // be acted on: a job in it may run elsewhere by now.
+  state.link->EndAll();
 }
 
 }  // namespace boragecroft
--- a/peers/handover/handover_link.cc
+++ b/peers/handover/handover_link.cc
@@ -232,6 +232,16 @@
   detail::RemoveLink(*state_, id);
 }
 
+auto HandoverLink::EndAll() -> void {
+  std::vector<LinkId> ids;
+  for (const auto& [id, link] : state_->links) {
+    ids.push_back(id);
+  }
+  for (const auto id : ids) {
+    detail::EndLink(*state_, id, LinkEnd::kUnresponsive);
+  }
+}
+
 auto HandoverLink::LinkTo(const Address& peer) const -> LinkId {
   const auto it = state_->outgoing.find(peer);
   if (it == state_->outgoing.end() || it->second == 0) {
--- a/peers/handover/handover_link.h
+++ b/peers/handover/handover_link.h
@@ -73,6 +73,9 @@
   // Returns when data last arrived on the connection, or nothing when the
   // connection is not open.
   auto LastHeard(LinkId link) const -> std::optional<Instant>;
+  // Ends every connection as unresponsive, calling `on_end` for each. Messages
+  // that have arrived and were not delivered yet are dropped.
+  auto EndAll() -> void;
   // Sends the message, or drops it when the connection is not open.
   auto Send(LinkId link, const HandoverMessage& message) -> void;
   // Sends the message on every open connection.
--- a/servers/intake/intake.cc
+++ b/servers/intake/intake.cc
@@ -264,6 +264,9 @@
   }
   std::vector<JobName> moved;
   for (const auto& [name, job] : state.jobs) {
+    if (GiveUpAt(job) <= now) {
+      continue;
+    }
     const auto waits = job.group.empty() && IsOpen(view);
     const auto lost = job.group == group && job.token != view.token;
     if (waits || lost) {
--- a/servers/succession/succession.cc
+++ b/servers/succession/succession.cc
@@ -295,6 +295,15 @@
   }
 }
 
+auto OnSuspended(Succession& state, Instant now) -> void {
+  for (auto& [group, term] : state.groups) {
+    if (term.holder && term.holder->instance.address != state.self.address) {
+      term.status = HolderStatus::kUnknown;
+      term.status_since = now;
+    }
+  }
+}
+
 auto OnRowWritten(Succession& state,
                   const GroupRow& row,
                   RowWrite result,
--- a/servers/succession/succession.h
+++ b/servers/succession/succession.h
@@ -125,6 +125,9 @@
                     const Address& holder,
                     HolderStatus status,
                     Instant now) -> void;
+// Handles that this process was suspended: what it knows of the holders is too
+// old to take over a group.
+auto OnSuspended(Succession& state, Instant now) -> void;
 auto OnRowWritten(Succession& state,
                   const GroupRow& row,
                   RowWrite result,
--- a/tests/core/http/http_test.cc
+++ b/tests/core/http/http_test.cc
@@ -124,6 +124,20 @@
   unanswered_.front()(HttpResponse{.status = 200});
 }
 
+// Guards against work for a caller that has left: the process was suspended
+// while the request arrived and the caller gave up.
+TEST_F(HttpTest, DropsRequestWhosePeerClosedBeforeItWasRead) {
+  StartServer({});
+  asio::ip::tcp::socket socket(context_);
+  socket.connect({asio::ip::make_address("127.0.0.1"), port_});
+  const std::string request = "GET /silent HTTP/1.1\r\nHost: a\r\n\r\n";
+  asio::write(socket, asio::buffer(request));
+  socket.close();
+  context_.run_for(milliseconds(300));
+  EXPECT_TRUE(unanswered_.empty());
+  EXPECT_EQ(server_->ActiveRequests(), 0);
+}
+
 TEST_F(HttpTest, RespondsWithoutBodyWhenHeaderIsRejected) {
   StartServer({});
   const auto reply = ExchangeRaw(
--- a/tests/servers/intake/intake_test.cc
+++ b/tests/servers/intake/intake_test.cc
@@ -72,6 +72,17 @@
   EXPECT_EQ(Take<HandOver>().at(0).group, "south");
 }
 
+// Guards against runs for callers that have left: an instance that was
+// suspended learned of a holder before it checked the deadlines of its jobs.
+TEST_F(NewJob, IsNotHandedOverAfterItsDeadline) {
+  LoseHolder("north");
+  LoseHolder("south");
+  Submit(1, 1);
+  now += milliseconds{3500};
+  SetGroupView("north", 10, 20);
+  EXPECT_TRUE(Take<HandOver>().empty());
+}
+
 // Guards against hand-overs to a holder that lost power: jobs were handed to it
 // for 1.1 s. Seen in an incident.
 TEST_F(NewJob, IsNotHandedToHolderThatMissedHeartbeat) {
