--- a/tests/platform/table_follower_test.cc
+++ b/tests/platform/table_follower_test.cc
@@ -93,6 +93,31 @@
   EXPECT_EQ(seen, (std::vector<std::string>{"+a"}));
 }
 
+// Guards against an old view of the table: the connection to the store went
+// silent, and the request for changes was waited for far longer than the 3 s
+// after which the platform expects an instance to be up to date again.
+TEST_F(FollowedTable, ReadsChangesSoonAfterItsConnectionWentSilent) {
+  follower->Start();
+  RunFor(milliseconds{300});
+  ASSERT_EQ(waiting.size(), 1);
+  feed_answers = {R"({"rows":[{"key":"b","value":"eA==","ver":7}],"ver":7})"};
+  RunFor(milliseconds{3000});
+  EXPECT_EQ(seen, (std::vector<std::string>{"+a", "+b"}));
+}
+
+TEST_F(FollowedTable, RequestsChangesAtOnceWhenRefreshed) {
+  follower->Start();
+  RunFor(milliseconds{300});
+  ASSERT_EQ(waiting.size(), 1);
+  const auto before = BootClock::now();
+  EXPECT_LT(known_until, before);
+  feed_answers = {R"({"rows":[{"key":"b","value":"eA==","ver":7}],"ver":7})"};
+  follower->Refresh();
+  RunFor(milliseconds{300});
+  EXPECT_EQ(seen, (std::vector<std::string>{"+a", "+b"}));
+  EXPECT_GE(known_until, before);
+}
+
 TEST_F(FollowedTable, DropsAnswersAfterItStopped) {
   follower->Start();
   follower->Stop();
