--- a/tests/lab/platform_fleet.cc
+++ b/tests/lab/platform_fleet.cc
@@ -138,12 +138,13 @@
 
 auto PlatformFleet::Submit(const EntryProcess& instance,
                            uint64_t name,
-                           int count) -> JsonReply {
+                           int count,
+                           milliseconds deadline) -> JsonReply {
   HttpRequest request;
   request.method = "POST";
   request.target = "/reminders/" + platform::ToString(JobName{name});
   request.headers.push_back({"Host", kHost});
-  request.headers.push_back({"Deadline-Ms", "5000"});
+  request.headers.push_back({"Deadline-Ms", std::to_string(deadline.count())});
   const json::object step{
       {"count", count}, {"cpu", 14000}, {"mem_mb", 64}, {"est_runtime_ms", 60}};
   request.body = ToJsonText(json::object{
--- a/tests/lab/platform_fleet.h
+++ b/tests/lab/platform_fleet.h
@@ -41,9 +41,12 @@
   // instance served none of 400.
   auto AwaitService() -> bool;
   // Submits a job of `count` tasks and waits for its answer. Each task runs for
-  // 60 ms.
-  auto Submit(const EntryProcess& instance, uint64_t name, int count)
-      -> JsonReply;
+  // 60 ms unless the worker was told otherwise. `deadline` is how long the
+  // caller says that it waits.
+  auto Submit(const EntryProcess& instance,
+              uint64_t name,
+              int count,
+              milliseconds deadline = seconds(5)) -> JsonReply;
   auto Control(const std::string& path, const boost::json::object& body)
       -> void;
   auto FetchRunStatistics() -> boost::json::object;
--- a/tests/standins/fleet/main.cc
+++ b/tests/standins/fleet/main.cc
@@ -3,7 +3,7 @@
 // "ready".
 // The control port serves POST /store {"mode": "up" | "refuses" | "silent"};
 // POST /worker {"id", "mode": "up" | "silent" | "restart" | "draining" |
-// "gone"}; POST /configuration {"version", "prefix"}; GET /account.
+// "gone", "run_ms"}; POST /configuration {"version", "prefix"}; GET /account.
 #include <boost/asio/signal_set.hpp>
 #include <iostream>
 #include <map>
@@ -62,6 +62,8 @@
 auto SetWorker(Fleet& fleet, const json::object& body) -> void {
   auto& worker = *fleet.workers.at(TextOr(body, "id", ""));
   const auto mode = TextOr(body, "mode", "up");
+  worker.run_time =
+      milliseconds(NumberOr(body, "run_ms", worker.run_time.count()));
   worker.mode = mode == "silent" ? WorkerMode::kNoResponse : WorkerMode::kUp;
   if (mode == "restart") {
     RestartWorker(worker);
