--- a/tests/platform/table_follower_test.cc
+++ b/tests/platform/table_follower_test.cc
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <sstream>
 #include <string>
 #include <utility>
 #include <vector>
@@ -118,6 +119,66 @@
   EXPECT_GE(known_until, before);
 }
 
+// The store has more changes than one answer holds.
+class FollowedTableFarBehind : public FollowedTable {
+ protected:
+  static constexpr int kRowsOfAnswer = 500;
+
+  void SetUp() override {
+    FollowedTable::SetUp();
+    TableCallbacks callbacks;
+    callbacks.on_row = [this](const StoreRow& row) { seen.push_back(row.key); };
+    callbacks.on_complete = [this] { ++completed; };
+    callbacks.on_current = [this](Instant /*until*/) { ++times_current; };
+    callbacks.on_availability_changed = [](bool /*available*/) {};
+    follower = std::make_shared<TableFollower>(
+        context, *store, "servers", milliseconds{60'000}, std::move(callbacks));
+  }
+
+  // Returns an answer with changes of the rows k`from` and up.
+  static auto Changes(int from, int count) -> std::string {
+    std::ostringstream out;
+    for (auto i = from; i < from + count; ++i) {
+      out << (i == from ? R"({"rows":[)" : ",") << R"({"key":"k)" << i
+          << R"(","value":"eA==","ver":)" << 10 + i << "}";
+    }
+    out << R"(],"ver":)" << 9 + from + count << "}";
+    return out.str();
+  }
+
+  int times_current = 0;
+};
+
+// Guards against an old view of the table: after a network partition of 12 s
+// the changes arrived in answers of 500 rows with a pause after each, and
+// workers were used for 25 s after they had left.
+TEST_F(FollowedTableFarBehind, RequestsRemainingChangesWithoutPause) {
+  feed_answers = {Changes(0, kRowsOfAnswer), Changes(kRowsOfAnswer, 1)};
+  follower->Start();
+  RunFor(milliseconds{500});
+  ASSERT_FALSE(seen.empty());
+  EXPECT_EQ(seen.back(), "k500");
+}
+
+TEST_F(FollowedTableFarBehind, IsNotCurrentAfterFullAnswer) {
+  feed_answers = {Changes(0, kRowsOfAnswer)};
+  follower->Start();
+  RunFor(milliseconds{300});
+  ASSERT_EQ(waiting.size(), 1);
+  // Once, after the table was read from its start.
+  EXPECT_EQ(times_current, 1);
+}
+
+TEST_F(FollowedTableFarBehind, ReadsTableAgainAfterSeveralFullAnswers) {
+  feed_answers = {Changes(0, kRowsOfAnswer),
+                  Changes(kRowsOfAnswer, kRowsOfAnswer),
+                  Changes(2 * kRowsOfAnswer, 1)};
+  follower->Start();
+  RunFor(milliseconds{500});
+  EXPECT_EQ(reads, 2);
+  EXPECT_EQ(completed, 2);
+}
+
 TEST_F(FollowedTable, DropsAnswersAfterItStopped) {
   follower->Start();
   follower->Stop();
