--- a/main/entry/group_flow.cc
+++ b/main/entry/group_flow.cc
@@ -112,13 +112,13 @@
 
 template <class Order, class Event>
 auto OnAnswer(EntryState& state, const Order& order, Event event) -> void {
+  const auto now = BootClock::now();
+  HandleSuspension(state, now);
   auto* held_group = SchedulerOf(state, order.target);
   if (held_group == nullptr) {
     return;
   }
   const auto group = held_group->first;
-  const auto now = BootClock::now();
-  HandleSuspension(state, now);
   SchedulerCommands commands;
   event(held_group->second, now, commands);
   RunSchedulerCommands(state, group, commands);
