--- a/review/lab-2/cases.cc
+++ b/review/lab-2/cases.cc
@@ -73,7 +73,9 @@
                 });
     });
   }
-  return RunUntil(fleet, milliseconds(12000), [&] { return answered; });
+  const auto ended =
+      RunUntil(fleet, milliseconds(12000), [&] { return answered; });
+  return ended && (!trouble || acknowledged > 0);
 }
 
 struct DrainTrial {
@@ -109,8 +111,8 @@
   ++trial->sent;
   connection->Send(
       std::move(request), milliseconds(300), milliseconds(4000),
-      [&fleet, trial, daemon, connection, number, began, name = id.str()](
-          const Result<HttpResponse, HttpError>& result) {
+      [&fleet, trial, daemon, connection, number, began,
+       name = id.str()](const Result<HttpResponse, HttpError>& result) {
         const auto took = MillisecondsNow(fleet) - began;
         const auto status = result.has_value() ? result.value().status : 0;
         ++trial->answers[status];
@@ -156,12 +158,10 @@
   if (!StartFleet(fleet, {"bilbao"}, 2, 1, 1500)) {
     return false;
   }
-  const Job job{.id = "5c0e7a21d94b36f8",
-                .count = 2,
-                .estimate_ms = 300,
-                .work_ms = 300};
-  auto connection = Submit(fleet, *fleet.daemons[0], job,
-                           [](int, const std::string&) {});
+  const Job job{
+      .id = "5c0e7a21d94b36f8", .count = 2, .estimate_ms = 300, .work_ms = 300};
+  auto connection =
+      Submit(fleet, *fleet.daemons[0], job, [](int, const std::string&) {});
   RunFor(fleet, milliseconds(100));
   if (trouble) {
     connection->Close();
@@ -241,7 +241,7 @@
   });
   const auto ended =
       RunUntil(fleet, milliseconds(10000), [&] { return finished; });
-  return ended && UnansweredShare(fleet) <= kMaxUnanswered;
+  return ended && first != nullptr && UnansweredShare(fleet) <= kMaxUnanswered;
 }
 
 }  // namespace boragecroft::review
--- a/review/lab-2/soak.cc
+++ b/review/lab-2/soak.cc
@@ -241,9 +241,11 @@
     RunFor(fleet, milliseconds(50));
   }
   RunFor(fleet, seconds(2));
-  Note(fleet, "served " + std::to_string(*served) + " of " + std::to_string(sent));
+  Note(fleet,
+       "served " + std::to_string(*served) + " of " + std::to_string(sent));
   if (*served * 4 < sent * 3) {
-    Break(fleet, "RECOVER", "served " + std::to_string(*served) + " of " + std::to_string(sent));
+    Break(fleet, "RECOVER",
+          "served " + std::to_string(*served) + " of " + std::to_string(sent));
   }
 }
 
