Leave the lease of a run to expire while its stop is not confirmed

Cause: a lease covers everything on a worker, and it was extended as long as the holder had any own run there, also one of an ended job whose stops got lost. An answered renewal made the worker reachable again after each pair of unanswered stops.

Evidence: record of the case: 10 stops unanswered in 1.9 s, renewals with a longer lease all the while.

Change: no renewal and no start extends a lease on a worker with a run that must end, until its stop is confirmed; the run counts as over once the worker's clock has passed the longest lease.

--- a/servers/scheduling/dispatching.cc
+++ b/servers/scheduling/dispatching.cc
@@ -10,7 +10,8 @@
 // Time for which a worker may delay the answer to a lease renewal until a run
 // ends. An answer within it extends leases of 550 ms in time.
 constexpr milliseconds kRenewalWait{220};
-// Shorter time, used while renewals are lost. Short tasks run about as long.
+// Shorter time, used while renewals are lost, and while leases are not extended
+// so that they can be as soon as possible. Short tasks run about as long.
 constexpr milliseconds kShortRenewalWait{50};
 constexpr milliseconds kRenewalLossMemory{5000};
 
@@ -28,7 +29,9 @@
   ++job.uncertain;
   ++state.counters.starts;
   RecordUsage(state, job.offer.kind, RunTimeOf(state, job), now);
-  const auto lease = NextLease(worker, now);
+  // Beside a run that must end, the lease that was granted before is used.
+  const auto lease =
+      HasRunToEnd(worker) ? worker.leased_until : NextLease(worker, now);
   worker.leased_until = std::max(worker.leased_until, lease);
   AddRun(worker, Run{.task = name,
                      .attempt = task.attempt,
@@ -68,9 +71,11 @@
                 SchedulerCommands& out) -> void {
   for (auto& [id, worker] : state.workers) {
     for (auto& run : worker.runs) {
-      const auto in_progress =
-          run.state == RunState::kOrdered || run.state == RunState::kRunning;
-      if (run.task.job == job.offer.name && in_progress) {
+      if (run.task.job != job.offer.name || run.inherited) {
+        continue;
+      }
+      run.job_ended = true;
+      if (run.state == RunState::kOrdered || run.state == RunState::kRunning) {
         StopRun(state, worker, run, out);
       }
     }
@@ -207,11 +212,14 @@
   const auto has_own_runs =
       std::any_of(worker.runs.begin(), worker.runs.end(),
                   [](const Run& it) { return !it.inherited; });
-  // Leases are not extended for runs of an earlier holder, nor on a worker that
+  // Leases are not extended beside a run that must end, nor on a worker that
   // does not answer: these runs end when their leases expire.
-  if (has_own_runs && worker.fenced && worker.reachable) {
+  const auto extend = has_own_runs && !HasRunToEnd(worker);
+  if (worker.fenced && worker.reachable && !worker.runs.empty()) {
+    renewal.wait = extend ? RenewalWait(state, now) : kShortRenewalWait;
+  }
+  if (worker.fenced && worker.reachable && extend) {
     renewal.lease = NextLease(worker, now);
-    renewal.wait = RenewalWait(state, now);
     worker.leased_until = std::max(worker.leased_until, renewal.lease);
   }
   worker.renewal_in_flight = true;
--- a/servers/scheduling/placement.cc
+++ b/servers/scheduling/placement.cc
@@ -184,6 +184,14 @@
 
 }  // namespace
 
+// Reports whether the run of an ended job may last until its lease expires,
+// because a stop was not answered. The leases of all other runs on its worker
+// expire as well, so that none should be started there.
+static auto MayOutliveJob(const Run& run) -> bool {
+  return run.job_ended && run.stop_unanswered &&
+         run.state != RunState::kStopped;
+}
+
 auto IsUsable(const WorkerAccount& worker, const std::string& service) -> bool {
   if (!worker.listed || !worker.fenced || !worker.reachable) {
     return false;
@@ -191,8 +199,9 @@
   if (worker.entry.draining || worker.entry.service != service) {
     return false;
   }
-  return std::none_of(worker.runs.begin(), worker.runs.end(),
-                      [](const Run& it) { return it.inherited; });
+  return std::none_of(
+      worker.runs.begin(), worker.runs.end(),
+      [](const Run& it) { return it.inherited || MayOutliveJob(it); });
 }
 
 auto PlaceTask(WorkerAccounts& workers,
--- a/servers/scheduling/worker.cc
+++ b/servers/scheduling/worker.cc
@@ -44,11 +44,13 @@
                         const RunReport& report,
                         Instant sent,
                         Reconciled& out) -> void {
+  const auto expired = report.clock >= worker.leased_until;
   for (auto i = worker.runs.size(); i-- > 0;) {
     const auto run = worker.runs[i];
-    const auto waits =
+    const auto unanswered =
         run.state == RunState::kOrdered || run.state == RunState::kStopping;
-    if (waits || run.settled_at >= sent || IsListed(report.running, run)) {
+    const auto unsettled = unanswered || run.settled_at >= sent;
+    if ((unsettled && !expired) || IsListed(report.running, run)) {
       continue;
     }
     out.ended.push_back({.run = run, .end = RunEnd::kLeaseExpired});
@@ -108,6 +110,12 @@
   worker.clock_read_at = now;
 }
 
+auto HasRunToEnd(const WorkerAccount& worker) -> bool {
+  return std::any_of(worker.runs.begin(), worker.runs.end(), [](const Run& it) {
+    return (it.inherited || it.job_ended) && it.state != RunState::kStopped;
+  });
+}
+
 auto FindRun(WorkerAccount& worker, TaskName task, uint32_t attempt) -> Run* {
   const auto it =
       std::find_if(worker.runs.begin(), worker.runs.end(), [&](const Run& run) {
--- a/servers/scheduling/worker.h
+++ b/servers/scheduling/worker.h
@@ -46,9 +46,11 @@
   RunState state = RunState::kOrdered;
   bool inherited = false;  // set when an earlier holder started the run
   bool overdue = false;    // set once it has run far longer than expected
+  bool job_ended = false;  // set when its job has ended without it
   Instant ordered_at;
   Instant settled_at;  // time of the answer to the last order about the run
   uint32_t stops = 0;  // number of stop orders without an answer
+  bool stop_unanswered = false;  // set once a stop order remained unanswered
 };
 
 enum class RunEnd : uint8_t { kDone, kFailed, kStopped, kLeaseExpired };
@@ -107,6 +109,12 @@
 auto RecordClock(WorkerAccount& worker, milliseconds clock, Instant now)
     -> void;
 
+// Reports whether the worker may execute a run that must end: one of an earlier
+// holder, or of a job that has ended. A lease covers everything on the worker,
+// so none may be extended until the worker has confirmed the stop: the caller
+// of such a job may send it again, and it may start elsewhere.
+auto HasRunToEnd(const WorkerAccount& worker) -> bool;
+
 auto FindRun(WorkerAccount& worker, TaskName task, uint32_t attempt) -> Run*;
 auto AddRun(WorkerAccount& worker, Run run) -> void;
 auto RemoveRun(WorkerAccount& worker, TaskName task, uint32_t attempt) -> void;
@@ -124,7 +132,8 @@
 
 // Updates the account from the answer to a renewal that was sent at `sent`. A
 // run that the worker lists neither as running nor as ended does not exist any
-// more, provided that its last order had been answered before `sent`.
+// more, provided that its last order had been answered before `sent` or that
+// every lease had expired when the worker answered.
 auto Reconcile(WorkerAccount& worker, const RunReport& report, Instant sent)
     -> Reconciled;
 
--- a/servers/scheduling/worker_events.cc
+++ b/servers/scheduling/worker_events.cc
@@ -263,8 +263,10 @@
     run->state = RunState::kStopped;
     run->settled_at = now;
     detail::RenewIfNeeded(state, *worker, now, out);
+    detail::StartWaitingTasks(state, now, out);
     return;
   }
+  run->stop_unanswered = true;
   if (++run->stops < kMaxUnansweredStops) {
     detail::StopRun(state, *worker, *run, out);
     return;
--- a/tests/servers/scheduling/hand_over_model.cc
+++ b/tests/servers/scheduling/hand_over_model.cc
@@ -378,8 +378,9 @@
           << at(it.next_renewal);
       for (const auto& run : it.runs) {
         out << 'r' << run.attempt << static_cast<int>(run.state)
-            << run.inherited << run.overdue << run.stops << ','
-            << at(run.ordered_at) << ',' << at(run.settled_at);
+            << run.inherited << run.overdue << run.job_ended
+            << run.stop_unanswered << run.stops << ',' << at(run.ordered_at)
+            << ',' << at(run.settled_at);
       }
     }
     for (const auto& [name, job] : holder.jobs) {
--- a/tests/servers/scheduling/invariants_test.cc
+++ b/tests/servers/scheduling/invariants_test.cc
@@ -104,6 +104,32 @@
   EXPECT_GT(done, static_cast<uint64_t>(SeedCount()) * 20);
 }
 
+// Guards against runs that outlast their job because their stops remain
+// unanswered while the other runs of the worker have their leases extended.
+TEST(WithdrawnJobs, HaveNoRunsWhenTheirCallersSendThemAgain) {
+  constexpr VirtualFaults kFaults{.stop_lost = 70, .stalled = 10};
+  uint64_t done = 0;
+  for (auto seed = 1; seed <= SeedCount(); ++seed) {
+    VirtualFleet fleet(static_cast<uint64_t>(seed), kFaults, 4);
+    auto& holder = fleet.TakeOver(true);
+    uint64_t next = 1;
+    for (auto ms = 0; ms < kScenarioMs; ++ms) {
+      fleet.Step();
+      if (fleet.Draw(120) == 0) {
+        fleet.Offer(holder, MakeOffer(next++, 1 + fleet.Draw(5)));
+      }
+      if (next > 1 && fleet.Draw(300) == 0) {
+        fleet.Withdraw(holder, JobName{next - 1});
+      }
+    }
+    const auto& result = fleet.Result();
+    ASSERT_TRUE(result.violations.empty())
+        << "seed " << seed << ": " << result.violations.front();
+    done += result.done;
+  }
+  EXPECT_GT(done, static_cast<uint64_t>(SeedCount()) * 20);
+}
+
 INSTANTIATE_TEST_SUITE_P(
     Faults,
     RandomScenarios,
--- a/tests/servers/scheduling/orders_test.cc
+++ b/tests/servers/scheduling/orders_test.cc
@@ -187,6 +187,103 @@
   EXPECT_EQ(state.workers.at("w1").used, Resources());
 }
 
+// Guards against two runs of one task: the lease of a run whose stops remained
+// unanswered was extended for the other runs of its worker, and its job, sent
+// again by the caller, started in another availability zone.
+class UnansweredStop : public SchedulerFixture {
+ protected:
+  // Two jobs run on one worker. The caller of the first one leaves.
+  void SetUp() override {
+    Begin({MakeEntry("w1", 64'000)});
+    for (const uint64_t name : {1U, 2U}) {
+      Offer(MakeOffer(name, 1));
+      starts.push_back(Take<StartCommand>().at(0));
+      AnswerStart(starts.back(), OrderAnswer::kAccepted);
+    }
+    renewal = Take<RenewCommand>().at(0);
+    now += milliseconds{100};
+    OnCancel(state, 0, JobName{1}, now, out);
+    stop = Take<StopCommand>().at(0);
+    granted = state.workers.at("w1").leased_until;
+  }
+
+  auto RunningTasks() const -> std::vector<ListedRun> {
+    return {{starts[0].task, 1}, {starts[1].task, 1}};
+  }
+
+  // Lets `time` pass, in which the worker answers renewals and no stop.
+  auto LeaveStopsUnanswered(milliseconds time) -> void {
+    for (const auto until = now + time; now < until;) {
+      AdvanceTime(milliseconds{50});
+      AnswerRenewal(renewal, RunningTasks(), {});
+      renewal = Take<RenewCommand>().at(0);
+      EXPECT_LE(renewal.lease, granted);
+      for (const auto& it : Take<StopCommand>()) {
+        stop = it;
+      }
+      AnswerStop(stop, OrderAnswer::kNoAnswer);
+    }
+  }
+
+  std::vector<StartCommand> starts;
+  RenewCommand renewal;
+  StopCommand stop;
+  milliseconds granted{};  // latest lease before the caller left
+};
+
+TEST_F(UnansweredStop, LeavesLeaseOfRunToExpire) {
+  LeaveStopsUnanswered(milliseconds{400});
+  EXPECT_EQ(state.workers.at("w1").leased_until, granted);
+}
+
+TEST_F(UnansweredStop, KeepsStartsFromExtendingLease) {
+  Offer(MakeOffer(3, 1));
+  EXPECT_EQ(Take<StartCommand>().at(0).lease, granted);
+  EXPECT_EQ(state.workers.at("w1").leased_until, granted);
+}
+
+TEST_F(UnansweredStop, KeepsTasksFromWorkerWhoseLeasesExpire) {
+  LeaveStopsUnanswered(milliseconds{50});
+  Offer(MakeOffer(3, 1));
+  EXPECT_TRUE(Take<StartCommand>().empty());
+  EXPECT_EQ(state.workers.at("w1").leased_until, granted);
+}
+
+TEST_F(UnansweredStop, DoesNotShortenWaitOfRenewalsToNothing) {
+  LeaveStopsUnanswered(milliseconds{50});
+  EXPECT_GT(renewal.wait, milliseconds{0});
+}
+
+TEST_F(UnansweredStop, IsFollowedByLongerLeaseOnceItIsAnswered) {
+  LeaveStopsUnanswered(milliseconds{50});
+  AnswerStop(stop, OrderAnswer::kAccepted);
+  AdvanceTime(milliseconds{5});
+  AnswerRenewal(renewal, {{starts[1].task, 1}},
+                {{1, starts[0].task, 1, RunEnd::kStopped}});
+  EXPECT_GT(Take<RenewCommand>().at(0).lease, granted);
+  EXPECT_EQ(state.jobs.size(), 1U);
+}
+
+// The start may have been lost as well, so that the worker never lists the run.
+TEST_F(UnansweredStop, ReleasesRunOnceWorkerClockShowsThatLeaseHasExpired) {
+  LeaveStopsUnanswered(milliseconds{100});
+  now += milliseconds{600};
+  AnswerRenewal(renewal, {}, {{1, starts[1].task, 1, RunEnd::kLeaseExpired}});
+  EXPECT_FALSE(state.jobs.contains(JobName{1}));
+  Offer(MakeOffer(3, 1));
+  EXPECT_EQ(Take<StartCommand>().size(), 1U);
+}
+
+// A run of an earlier holder can be listed beside own runs if it was started by
+// an order that the worker carried out late.
+TEST_F(UnansweredStop, LeavesLeaseOfInheritedRunToExpire) {
+  AnswerStop(stop, OrderAnswer::kAccepted);
+  AnswerRenewal(renewal, {{starts[1].task, 1}, {{JobName{7}, 0}, 1}},
+                {{1, starts[0].task, 1, RunEnd::kStopped}});
+  EXPECT_EQ(Take<StopCommand>().at(0).task.job, JobName{7});
+  EXPECT_LE(Take<RenewCommand>().at(0).lease, granted);
+}
+
 class UnhealthyWorker : public SchedulerFixture {};
 
 TEST_F(UnhealthyWorker, IsUsedAgainWhenItAnswers) {
--- a/tests/servers/scheduling/virtual_workers.cc
+++ b/tests/servers/scheduling/virtual_workers.cc
@@ -10,6 +10,9 @@
 constexpr milliseconds kNoAnswerAfter{120};
 constexpr milliseconds kLatest{3000};
 constexpr milliseconds kMaxLeaseDuration{1000};
+constexpr milliseconds kStalled{60'000};
+// After this time a caller without an answer sends its job again.
+constexpr milliseconds kRetransmit{1300};
 constexpr int64_t kNeeds = 14'000;
 // Lower bound of the rate of a worker's clock.
 constexpr double kMinClockRate = 0.98;
@@ -57,6 +60,9 @@
     action();
   }
   for (auto& worker : workers_) {
+    for (const auto& it : worker.runs) {
+      CheckWithdrawn(it);
+    }
     const auto expired = ClockOf(worker) >= worker.lease_ends;
     for (auto i = worker.runs.size(); i-- > 0;) {
       if (worker.runs[i].ends <= now_) {
@@ -96,6 +102,7 @@
 }
 
 auto VirtualFleet::Offer(VirtualHolder& holder, JobOffer offer) -> void {
+  withdrawn_at_.erase(offer.name);
   for (size_t i = 0; i < holders_.size(); ++i) {
     if (holders_[i].get() == &holder) {
       SchedulerCommands commands;
@@ -107,6 +114,7 @@
 }
 
 auto VirtualFleet::Withdraw(VirtualHolder& holder, JobName job) -> void {
+  withdrawn_at_.try_emplace(job, now_);
   for (size_t i = 0; i < holders_.size(); ++i) {
     if (holders_[i].get() == &holder && holder.alive) {
       SchedulerCommands commands;
@@ -151,11 +159,11 @@
 }
 
 auto VirtualFleet::Deliver(const std::string& worker,
+                           int lost,
                            const std::function<OrderAnswer()>& carry_out,
                            const std::function<void(OrderAnswer)>& answer)
     -> void {
   const auto drawn = Draw(100);
-  const auto lost = faults_.lost;
   const auto late = lost + faults_.late;
   const auto unanswered = late + faults_.answer_lost;
   if (drawn < unanswered) {
@@ -188,7 +196,7 @@
 
 auto VirtualFleet::Send(size_t holder, const StartCommand& order) -> void {
   Deliver(
-      order.target.worker, [this, order] { return Start(order); },
+      order.target.worker, faults_.lost, [this, order] { return Start(order); },
       [this, holder, order](OrderAnswer answer) {
         if (!holders_[holder]->alive) {
           return;
@@ -202,7 +210,8 @@
 
 auto VirtualFleet::Send(size_t holder, const StopCommand& order) -> void {
   Deliver(
-      order.target.worker, [this, order] { return Stop(order); },
+      order.target.worker, faults_.lost + faults_.stop_lost,
+      [this, order] { return Stop(order); },
       [this, holder, order](OrderAnswer answer) {
         if (!holders_[holder]->alive) {
           return;
@@ -251,10 +260,10 @@
   if (ended != worker.highest_ended.end() && order.attempt <= ended->second) {
     return OrderAnswer::kStaleAttempt;
   }
-  worker.runs.push_back(
-      VirtualRun{.task = order.task,
-                 .attempt = order.attempt,
-                 .ends = now_ + milliseconds(30 + Draw(600))});
+  const auto stalled = faults_.stalled > 0 && Draw(100) < faults_.stalled;
+  const auto run_time = stalled ? kStalled : milliseconds(30 + Draw(600));
+  worker.runs.push_back(VirtualRun{
+      .task = order.task, .attempt = order.attempt, .ends = now_ + run_time});
   ++result_.starts;
   CheckInvariants(worker, order.task);
   return OrderAnswer::kAccepted;
@@ -368,6 +377,14 @@
   }
 }
 
+auto VirtualFleet::CheckWithdrawn(const VirtualRun& run) -> void {
+  const auto it = withdrawn_at_.find(run.task.job);
+  if (it != withdrawn_at_.end() && now_ - it->second >= kRetransmit) {
+    result_.violations.push_back(ToString(run.task) +
+                                 " runs when its caller sends it again");
+  }
+}
+
 auto VirtualFleet::FindWorker(const std::string& id) -> VirtualWorker& {
   return *std::find_if(
       workers_.begin(), workers_.end(),
--- a/tests/servers/scheduling/virtual_workers.h
+++ b/tests/servers/scheduling/virtual_workers.h
@@ -15,11 +15,13 @@
 
 namespace boragecroft {
 
-// Frequency of network faults, in percent of the orders.
+// Frequency of faults, in percent of the orders.
 struct VirtualFaults {
   int lost = 0;         // not carried out and not answered
   int late = 0;         // carried out up to 3 s later and not answered
   int answer_lost = 0;  // carried out but not answered
+  int stop_lost = 0;    // the same as `lost`, for stops only
+  int stalled = 0;      // tasks that do not end by themselves
 };
 
 struct VirtualRun {
@@ -67,6 +69,8 @@
   // holder stays alive and is not notified.
   auto TakeOver(bool stable) -> VirtualHolder&;
   auto Offer(VirtualHolder& holder, JobOffer offer) -> void;
+  // Withdraws the job as when its caller has left. The caller may send it again
+  // to another availability zone after 1.3 s, so its runs must have ended then.
   auto Withdraw(VirtualHolder& holder, JobName job) -> void;
   auto RestartWorker(size_t index) -> void;
   auto Draw(int bound) -> int;
@@ -83,8 +87,10 @@
   auto Send(size_t holder, const ResultCommand& command) -> void;
   auto Send(size_t holder, const FencedCommand& command) -> void;
   // Carries an order out now, later or never. `answer` receives the worker's
-  // answer, or kNoAnswer after the time-out.
+  // answer, or kNoAnswer after the time-out. `lost` is the percentage of orders
+  // that are lost.
   auto Deliver(const std::string& worker,
+               int lost,
                const std::function<OrderAnswer()>& carry_out,
                const std::function<void(OrderAnswer)>& answer) -> void;
   auto Start(const StartCommand& order) -> OrderAnswer;
@@ -94,6 +100,7 @@
   auto ClockOf(const VirtualWorker& worker) const -> milliseconds;
   auto EndRun(VirtualWorker& worker, size_t index, RunEnd end) -> void;
   auto CheckInvariants(const VirtualWorker& worker, TaskName task) -> void;
+  auto CheckWithdrawn(const VirtualRun& run) -> void;
   auto FindWorker(const std::string& id) -> VirtualWorker&;
 
   std::mt19937_64 random_;
@@ -102,6 +109,7 @@
   std::vector<VirtualWorker> workers_;
   std::vector<std::unique_ptr<VirtualHolder>> holders_;
   std::multimap<Instant, std::function<void()>> event_queue_;
+  std::map<JobName, Instant> withdrawn_at_;
   VirtualResult result_;
 };
 
