Notice a suspension that begins before the first heartbeat

Cause: the suspension is measured from the last heartbeat, and until the first one, 200 ms after the start, HandleSuspension returned at once. No suspended line in the instance's log.

Change: the time is set at the start, before the instance listens, and the special case is gone.

--- a/main/entry/entry_instance.cc
+++ b/main/entry/entry_instance.cc
@@ -196,6 +196,7 @@
 
 auto StartEntry(EntryState& state) -> Result<void, std::string> {
   const auto now = BootClock::now();
+  state.last_heartbeat = now;
   state.self = InstanceRef{.name = state.settings.instance,
                            .zone = state.settings.zone,
                            .address = state.settings.instances,
--- a/main/entry/entry_state.h
+++ b/main/entry/entry_state.h
@@ -96,6 +96,8 @@
   boost::asio::steady_timer due_timer;
   boost::asio::steady_timer heartbeat_timer;
   std::optional<Instant> due_at;
+  // When the process last ran for certain: at its start, then at each
+  // heartbeat.
   Instant last_heartbeat;
   std::optional<Instant> draining_since;
   EntryMetrics metrics;
--- a/main/entry/suspension.cc
+++ b/main/entry/suspension.cc
@@ -14,8 +14,7 @@
 }  // namespace
 
 auto HandleSuspension(EntryState& state, Instant now) -> void {
-  if (state.last_heartbeat == Instant() ||
-      now - state.last_heartbeat < kSuspensionThreshold) {
+  if (now - state.last_heartbeat < kSuspensionThreshold) {
     return;
   }
   Log(LogLevel::kWarning, "suspended",
