Retry a task whose attempt number a worker has used before

Cause: the number of the task's attempt was raised before the start was undone. HandleRunEnd then took the refused start for that of an earlier attempt, and the task stayed in progress.

Change: the start is undone first. It newly permits a start on another worker after the answer 'old', which says that the earlier attempt has ended or been stopped there.

--- a/servers/scheduling/worker_events.cc
+++ b/servers/scheduling/worker_events.cc
@@ -234,14 +234,15 @@
     }
     return;
   }
-  if (answer == OrderAnswer::kStaleAttempt) {
-    SkipUsedAttempts(state, order.task);
-  }
   if (answer == OrderAnswer::kUnhealthy || answer == OrderAnswer::kNotSent ||
       answer == OrderAnswer::kMoved) {
     MarkUnreachable(*worker, now);
   }
   UndoStart(state, *worker, order, now, out);
+  if (answer == OrderAnswer::kStaleAttempt) {
+    // Not before the start is undone: that compares the numbers of attempts.
+    SkipUsedAttempts(state, order.task);
+  }
   detail::RenewIfNeeded(state, *worker, now, out);
   detail::StartWaitingTasks(state, now, out);
 }
--- a/tests/servers/scheduling/orders_test.cc
+++ b/tests/servers/scheduling/orders_test.cc
@@ -52,6 +52,18 @@
   EXPECT_EQ(again[0].attempt, 2);
 }
 
+// Guards against a job that is stuck: it was sent again to the worker that had
+// ended an attempt of it with the same number, and its task counted as in
+// progress until the deadline.
+TEST_F(StartOrder, IsRetriedWithHigherNumberWhenWorkerHasEndedAttempt) {
+  AnswerStart(order, OrderAnswer::kStaleAttempt);
+  const auto again = Take<StartCommand>();
+  ASSERT_EQ(again.size(), 1);
+  EXPECT_GT(again[0].attempt, order.attempt + 1);
+  EXPECT_EQ(state.jobs.at(JobName{1}).in_progress, 1);
+  EXPECT_EQ(state.jobs.at(JobName{1}).uncertain, 1);
+}
+
 TEST_F(StartOrder, EndsJobWhenRunIsDone) {
   AnswerStart(order, OrderAnswer::kAccepted);
   now += milliseconds{60};
