Count a silent origin as lost from the end of its heartbeat timeout

The holder looks for silent connections every 200 ms, and counted the loss from that moment: up to 700 ms after the last message, then 200 ms for the origin to come back, then 564 ms until a lease has expired if stops get lost, 1.46 s in all.

Change: on_end says since when the connection counts as lost, 500 ms after the last message, and the 200 ms count from there: 1.26 s at most. It newly shortens the time in which a silent origin can come back and keep its jobs, by up to 200 ms.

Evidence: SuspendedInstance.CountsAsLost* fails with the time of the check in its place, and passes.

--- a/main/entry/succession_flow.cc
+++ b/main/entry/succession_flow.cc
@@ -104,7 +104,8 @@
   state.link->Send(link, MakeHeartbeat(state, false));
 }
 
-auto OnEnd(EntryState& state, LinkId link, LinkEnd end) -> void {
+auto OnEnd(EntryState& state, LinkId link, LinkEnd end, Instant lost_at)
+    -> void {
   const auto it = state.peers.find(link);
   if (it == state.peers.end()) {
     return;
@@ -115,9 +116,8 @@
       {{"peer", peer.peer.name},
        {"opened_here", peer.opened},
        {"silent", end == LinkEnd::kUnresponsive}});
-  const auto now = BootClock::now();
   for (auto& [group, scheduler] : state.schedulers) {
-    OnOriginLost(scheduler, link, now);
+    OnOriginLost(scheduler, link, lost_at);
   }
   if (peer.opened) {
     SetHolderStatus(state, peer.peer.address, HolderStatus::kUnresponsive);
@@ -219,9 +219,9 @@
       ArmDueTimer(state);
     }
   };
-  callbacks.on_end = [&state](LinkId link, LinkEnd end) {
+  callbacks.on_end = [&state](LinkId link, LinkEnd end, Instant lost_at) {
     HandleSuspension(state, BootClock::now());
-    OnEnd(state, link, end);
+    OnEnd(state, link, end, lost_at);
     ArmDueTimer(state);
   };
   callbacks.on_connect_failed = [&state](const Address& address,
--- a/peers/handover/handover_link.cc
+++ b/peers/handover/handover_link.cc
@@ -19,10 +19,6 @@
 namespace detail {
 
 constexpr milliseconds kConnectTimeout{300};
-// Allows two heartbeats and their replies to be late. The holder of a group
-// must detect the loss of an origin instance within 500 ms, because the length
-// of the scheduler's task leases depends on it.
-constexpr milliseconds kHeartbeatTimeout{500};
 
 // One connection to a peer.
 struct Link {
@@ -70,11 +66,15 @@
   if (it == state.links.end()) {
     return;
   }
+  const auto lost_at =
+      end == LinkEnd::kReset
+          ? BootClock::now()
+          : it->second.connection->LastHeard() + kHeartbeatTimeout;
   const auto hello_received = it->second.hello_received;
   const auto connected_to = it->second.connected_to;
   RemoveLink(state, id);
   if (hello_received) {
-    state.callbacks.on_end(id, end);
+    state.callbacks.on_end(id, end, lost_at);
   } else if (!connected_to.ip.empty()) {
     state.callbacks.on_connect_failed(connected_to, ConnectFailure::kNoAnswer);
   }
@@ -279,7 +279,7 @@
   std::vector<LinkId> unresponsive;
   std::vector<std::shared_ptr<FramedConnection>> outgoing;
   for (const auto& [id, link] : state_->links) {
-    if (now - link.connection->LastHeard() > detail::kHeartbeatTimeout) {
+    if (now - link.connection->LastHeard() > kHeartbeatTimeout) {
       unresponsive.push_back(id);
     } else if (!link.connected_to.ip.empty()) {
       outgoing.push_back(link.connection);
--- a/peers/handover/handover_link.h
+++ b/peers/handover/handover_link.h
@@ -31,13 +31,23 @@
 // not answer.
 enum class ConnectFailure : uint8_t { kRefused, kNoAnswer };
 
+// The interval between calls of HandoverLink::SendHeartbeats.
+inline constexpr milliseconds kHeartbeatInterval{200};
+// Time after the last message of a peer from which its connection counts as
+// lost. Allows two heartbeats and their replies to be late. The length of the
+// scheduler's task leases depends on it.
+inline constexpr milliseconds kHeartbeatTimeout{500};
+
 // Functions that a HandoverLink calls to report events.
 struct HandoverLinkCallbacks {
   // Called when the hello message of the peer has been received. `opened` is
   // true when this side opened the connection.
   std::function<void(LinkId, const InstanceRef& peer, bool opened)> on_open;
   std::function<void(LinkId, HandoverMessage)> on_message;
-  std::function<void(LinkId, LinkEnd)> on_end;
+  // `lost_at` is when the connection counts as lost. For an unresponsive peer
+  // that is the end of the heartbeat timeout, which may be a heartbeat interval
+  // ago.
+  std::function<void(LinkId, LinkEnd, Instant lost_at)> on_end;
   std::function<void(const Address&, ConnectFailure)> on_connect_failed;
 };
 
@@ -91,9 +101,6 @@
   std::shared_ptr<detail::HandoverLinkState> state_;
 };
 
-// The interval between calls of HandoverLink::SendHeartbeats.
-inline constexpr milliseconds kHeartbeatInterval{200};
-
 }  // namespace boragecroft
 
 #endif  // PEERS_HANDOVER_HANDOVER_LINK_H_
--- a/servers/scheduling/job_events.cc
+++ b/servers/scheduling/job_events.cc
@@ -148,10 +148,10 @@
   GiveUp(state, it->second, now, out);
 }
 
-auto OnOriginLost(Scheduler& state, OriginId origin, Instant now) -> void {
+auto OnOriginLost(Scheduler& state, OriginId origin, Instant lost_at) -> void {
   for (auto& [name, job] : state.jobs) {
     if (job.origin == origin && job.orphaned_at == Instant()) {
-      job.orphaned_at = now;
+      job.orphaned_at = lost_at;
     }
   }
 }
--- a/servers/scheduling/scheduler.h
+++ b/servers/scheduling/scheduler.h
@@ -208,9 +208,10 @@
               JobName job,
               Instant now,
               SchedulerCommands& out) -> void;
-// Handles the loss of the connection to an origin instance. Its jobs are
-// stopped unless they are handed over again within the grace period of 200 ms.
-auto OnOriginLost(Scheduler& state, OriginId origin, Instant now) -> void;
+// Handles the loss of the connection to an origin instance at `lost_at`. Its
+// jobs are stopped unless they are handed over again within the grace period of
+// 200 ms from then.
+auto OnOriginLost(Scheduler& state, OriginId origin, Instant lost_at) -> void;
 
 auto OnStartAnswer(Scheduler& state,
                    const StartCommand& order,
--- a/tests/main/entry/suspension_test.cc
+++ b/tests/main/entry/suspension_test.cc
@@ -36,7 +36,7 @@
     HandoverLinkCallbacks callbacks;
     callbacks.on_open = [](LinkId, const InstanceRef&, bool) {};
     callbacks.on_message = [](LinkId, const HandoverMessage&) {};
-    callbacks.on_end = [](LinkId, LinkEnd) {};
+    callbacks.on_end = [](LinkId, LinkEnd, Instant) {};
     callbacks.on_connect_failed = [](const Address&, ConnectFailure) {};
     peer = HandoverLink::Listen(
                context,
--- a/tests/peers/handover/handover_link_test.cc
+++ b/tests/peers/handover/handover_link_test.cc
@@ -19,8 +19,9 @@
     callbacks.on_message = [this](LinkId /*id*/, const HandoverMessage&) {
       ++messages;
     };
-    callbacks.on_end = [this](LinkId id, LinkEnd /*end*/) {
+    callbacks.on_end = [this](LinkId id, LinkEnd /*end*/, Instant lost_at) {
       std::erase(open, id);
+      last_lost_at = lost_at;
     };
     callbacks.on_connect_failed = [](const Address&, ConnectFailure) {};
     link = HandoverLink::Listen(
@@ -41,6 +42,7 @@
   std::unique_ptr<HandoverLink> link;
   std::vector<LinkId> open;
   int messages = 0;
+  Instant last_lost_at;
 };
 
 class SuspendedInstance : public testing::Test {
@@ -78,5 +80,19 @@
   EXPECT_EQ(holder.messages, 0);
 }
 
+// Guards against runs that outlast the connection to their origin: the loss
+// counted from the next heartbeat, so that the runs could last 200 ms too long.
+TEST_F(SuspendedInstance, CountsAsLostSinceEndOfHeartbeatTimeout) {
+  const auto id = holder.open.at(0);
+  holder.RunFor(milliseconds{20});
+  const auto last_heard = holder.link->LastHeard(id).value();
+  while (BootClock::now() - last_heard < kHeartbeatTimeout + milliseconds{50}) {
+    holder.RunFor(milliseconds{20});
+  }
+  holder.link->SendHeartbeats(HeartbeatMessage());
+  EXPECT_TRUE(holder.open.empty());
+  EXPECT_EQ(holder.last_lost_at, last_heard + kHeartbeatTimeout);
+}
+
 }  // namespace
 }  // namespace boragecroft
