Keep the highest reserved token of a group in its row

Cause: the next token was derived from the present row. A holder that had lost its successor wrote a row without it; the token reserved for it was forgotten and used by the holder when it took the group back, while the successor held the group with the same one.

Change: the row keeps the highest token that it or an earlier one has named. Rows of earlier versions lack the field and count by the tokens that they name.

--- a/servers/succession/succession.cc
+++ b/servers/succession/succession.cc
@@ -46,7 +46,7 @@
 auto HighestToken(const GroupTerm& term) -> uint64_t {
   uint64_t n = term.holder ? term.holder->token : 0;
   if (term.row) {
-    n = std::max(n, term.row->token);
+    n = std::max({n, term.row->token, term.row->highest_token});
     for (const auto& it : term.row->successors) {
       n = std::max(n, it.token);
     }
@@ -85,6 +85,7 @@
   for (const auto& it : Candidates(state, group)) {
     row.successors.push_back(Successor{.instance = it, .token = next++});
   }
+  row.highest_token = next - 1;
   return row;
 }
 
--- a/servers/succession/succession.h
+++ b/servers/succession/succession.h
@@ -46,6 +46,9 @@
   InstanceRef holder;
   uint64_t token = 0;
   std::vector<Successor> successors;  // in the order in which they take over
+  // Highest token that this row or an earlier one has named. Instances that are
+  // no longer successors may still use the tokens that were reserved for them.
+  uint64_t highest_token = 0;
   uint64_t version = 0;  // version of the row; 0 when there is none yet
 };
 
--- a/tests/platform/platform_formats_test.cc
+++ b/tests/platform/platform_formats_test.cc
@@ -215,6 +215,7 @@
                      .holder = holder,
                      .token = 10,
                      .successors = {{holder, 11}},
+                     .highest_token = 12,
                      .version = 4};
   const auto written = EncodeGroupRow(row);
   EXPECT_EQ(written.expected_version, 4);
@@ -224,6 +225,7 @@
   EXPECT_EQ(read->holder, holder);
   EXPECT_EQ(read->token, 10);
   EXPECT_EQ(read->successors, row.successors);
+  EXPECT_EQ(read->highest_token, 12);
   EXPECT_EQ(read->version, 5);
   EXPECT_FALSE(DecodeGroupRow(StoreRow{.key = "g", .value = "{}"}));
 }
--- a/tests/servers/succession/succession_test.cc
+++ b/tests/servers/succession/succession_test.cc
@@ -61,6 +61,23 @@
   SuccessionCommands out;
 };
 
+class LostSuccessor : public SuccessionFixture {};
+
+// Guards against two holders with one token: the row that a holder wrote after
+// it had lost its successor did not say which token was reserved for that
+// successor, and the holder used it when it took the group back.
+TEST_F(LostSuccessor, LeavesReservedTokenUnused) {
+  OnGroupRow(state, Row(5, self, 1, {{other, 2}}), now, out);
+  AdvanceTime(milliseconds{1});
+  const auto without_successor = Take<WriteGroupRow>(out).at(0).row;
+  ASSERT_TRUE(without_successor.successors.empty());
+  OnRowWritten(state, without_successor, RowWrite::kWritten, 6, now, out);
+  // The successor has taken over without the store.
+  OnFenced(state, "north", now, out);
+  AdvanceTime(seconds(4));
+  EXPECT_GT(Take<WriteGroupRow>(out).at(0).row.token, 2U);
+}
+
 class GroupWithoutRow : public SuccessionFixture {};
 
 TEST_F(GroupWithoutRow, IsClaimedByInstanceOfItsZone) {
