Count a suspension from the time at which peers give connections up

Cause: a threshold leaves what lies just below it. A suspension counted from 700 ms since the last heartbeat, but peers give a connection up 500 ms after the last message. In between an instance acted on what waited in its connections, and took old messages for signs of life: a lost origin was noticed up to 700 ms later, so that its runs could last beyond the 1.3 s.

Change: the threshold is the heartbeat timeout of the connections. It newly forgets: connections and jobs of other origins after gaps of 500 to 700 ms, which most peers have given up by then.

--- a/main/entry/suspension.cc
+++ b/main/entry/suspension.cc
@@ -7,9 +7,8 @@
 namespace boragecroft {
 namespace {
 
-// A gap between heartbeats of at least this length occurs only when the process
-// was suspended or got too little processor time.
-constexpr milliseconds kSuspensionThreshold{700};
+// After a gap of this length the peers may have given the connections up.
+constexpr milliseconds kSuspensionThreshold = kHeartbeatTimeout;
 
 }  // namespace
 
--- a/tests/main/entry/suspension_test.cc
+++ b/tests/main/entry/suspension_test.cc
@@ -63,8 +63,15 @@
   EXPECT_TRUE(state.peers.empty());
 }
 
+// Guards against the same fault after a shorter suspension, in which the peers
+// gave the connections up but which did not count as one.
+TEST_F(StartedInstance, EndsConnectionsWhenPeersMayHaveGivenThemUp) {
+  HandleSuspension(state, state.last_heartbeat + kHeartbeatTimeout);
+  EXPECT_TRUE(state.peers.empty());
+}
+
 TEST_F(StartedInstance, KeepsConnectionsWhenNotSuspended) {
-  HandleSuspension(state, BootClock::now());
+  HandleSuspension(state, state.last_heartbeat + kHeartbeatInterval);
   EXPECT_EQ(state.peers.size(), 1U);
 }
 
