Start nothing under a lease that has not been granted

Cause: beside a run that must end, a start carries the lease that was granted before. On a worker that has restarted, or that has got no lease for a while, there is none, so the start would be refused as late and sent again until the stop is confirmed.

Change: such a worker gets no starts until the stop is confirmed. Comments on the counts of stops say what they count; the loop that marks the runs of an ended job no longer singles out inherited runs, which are stopped when they are listed.

--- a/servers/scheduling/dispatching.cc
+++ b/servers/scheduling/dispatching.cc
@@ -71,7 +71,7 @@
                 SchedulerCommands& out) -> void {
   for (auto& [id, worker] : state.workers) {
     for (auto& run : worker.runs) {
-      if (run.task.job != job.offer.name || run.inherited) {
+      if (run.task.job != job.offer.name) {
         continue;
       }
       run.job_ended = true;
--- a/servers/scheduling/placement.cc
+++ b/servers/scheduling/placement.cc
@@ -182,16 +182,21 @@
   return a->used.cpu_millis <= b->used.cpu_millis ? a : b;
 }
 
-}  // namespace
-
 // Reports whether the run of an ended job may last until its lease expires,
 // because a stop was not answered. The leases of all other runs on its worker
 // expire as well, so that none should be started there.
-static auto MayOutliveJob(const Run& run) -> bool {
+auto MayOutliveJob(const Run& run) -> bool {
   return run.job_ended && run.stop_unanswered &&
          run.state != RunState::kStopped;
 }
 
+// Reports whether a start can use a lease that was granted before.
+auto HasLease(const WorkerAccount& worker) -> bool {
+  return worker.clock && worker.leased_until > *worker.clock;
+}
+
+}  // namespace
+
 auto IsUsable(const WorkerAccount& worker, const std::string& service) -> bool {
   if (!worker.listed || !worker.fenced || !worker.reachable) {
     return false;
@@ -199,6 +204,9 @@
   if (worker.entry.draining || worker.entry.service != service) {
     return false;
   }
+  if (HasRunToEnd(worker) && !HasLease(worker)) {
+    return false;
+  }
   return std::none_of(
       worker.runs.begin(), worker.runs.end(),
       [](const Run& it) { return it.inherited || MayOutliveJob(it); });
--- a/servers/scheduling/worker.h
+++ b/servers/scheduling/worker.h
@@ -49,8 +49,10 @@
   bool job_ended = false;  // set when its job has ended without it
   Instant ordered_at;
   Instant settled_at;  // time of the answer to the last order about the run
-  uint32_t stops = 0;  // number of stop orders without an answer
-  bool stop_unanswered = false;  // set once a stop order remained unanswered
+  // Number of stop orders without an answer since the worker last answered
+  // after too many of them.
+  uint32_t stops = 0;
+  bool stop_unanswered = false;  // set once a stop order had no answer
 };
 
 enum class RunEnd : uint8_t { kDone, kFailed, kStopped, kLeaseExpired };
--- a/servers/scheduling/worker_events.cc
+++ b/servers/scheduling/worker_events.cc
@@ -15,7 +15,7 @@
 // Consecutive unanswered renewals after which no more orders are sent to a
 // worker.
 constexpr uint32_t kMaxUnansweredRenewals = 2;
-// Unanswered stops of one run after which its lease is left to expire.
+// Unanswered stops of one run after which its worker counts as unreachable.
 constexpr uint32_t kMaxUnansweredStops = 2;
 
 auto FindWorker(Scheduler& state, const std::string& id) -> WorkerAccount* {
--- a/tests/servers/scheduling/orders_test.cc
+++ b/tests/servers/scheduling/orders_test.cc
@@ -286,6 +286,19 @@
   EXPECT_EQ(Take<StartCommand>().size(), 1U);
 }
 
+// The worker has restarted and carried the start out late, so it has granted no
+// lease that another start could use.
+TEST_F(UnansweredStop, KeepsTasksFromWorkerThatHasGrantedNoLease) {
+  auto entry = MakeEntry("w1", 64'000);
+  entry.started_at = milliseconds{2000};
+  OnWorkerEntry(state, entry, now, out);
+  AnswerRenewal(renewal, {}, {});
+  AnswerRenewal(Take<RenewCommand>().at(0), {{starts[0].task, 1}}, {},
+                entry.started_at);
+  Offer(MakeOffer(3, 1));
+  EXPECT_TRUE(Take<StartCommand>().empty());
+}
+
 // A run of an earlier holder can be listed beside own runs if it was started by
 // an order that the worker carried out late.
 TEST_F(UnansweredStop, LeavesLeaseOfInheritedRunToExpire) {
