--- a/main/entry/entry_instance.cc
+++ b/main/entry/entry_instance.cc
@@ -222,7 +222,8 @@
        {"incarnation", ToString(state.self.incarnation)},
        {"callers", state.caller_server->Port()},
        {"readiness", state.readiness_server->Port()},
-       {"instances", state.self.address.port},
+       {"instances", state.link->Port()},
+       {"advertised", ToString(state.self.address)},
        {"metrics", state.metrics_server->Port()}});
   return success();
 }
--- a/main/entry/main.cc
+++ b/main/entry/main.cc
@@ -25,6 +25,7 @@
 struct Arguments {
   std::string settings_file;
   uint16_t metrics_port = 0;
+  std::string advertised;  // empty: not given
   bool check_only = false;
 };
 
@@ -38,11 +39,16 @@
   const TCLAP::ValueArg<uint16_t> metrics(
       "m", "metrics-port", "port of the metrics page; 0: the system's choice",
       false, kMetricsPort, "PORT", command_line);
+  const TCLAP::ValueArg<std::string> advertise(
+      "a", "advertise",
+      "where other instances reach this one, if not where it listens", false,
+      "", "IP:PORT", command_line);
   const TCLAP::SwitchArg check(
       "", "check-settings", "check the settings file and exit", command_line);
   command_line.parse(argc, argv);
   return Arguments{.settings_file = settings.getValue(),
                    .metrics_port = metrics.getValue(),
+                   .advertised = advertise.getValue(),
                    .check_only = check.getValue()};
 }
 
@@ -112,6 +118,14 @@
   if (!settings) {
     return boragecroft::kInvalidSettings;
   }
+  if (!arguments.advertised.empty()) {
+    settings->advertised = boragecroft::ParseAddress(arguments.advertised);
+    if (!settings->advertised) {
+      std::cerr << "--advertise " << arguments.advertised
+                << ": not an IP number and a port\n";
+      return boragecroft::kInvalidSettings;
+    }
+  }
   if (arguments.check_only) {
     std::cout << arguments.settings_file << ": valid\n";
     return boragecroft::kStopped;
--- a/main/entry/succession_flow.cc
+++ b/main/entry/succession_flow.cc
@@ -231,7 +231,8 @@
     ArmDueTimer(state);
   };
   auto link =
-      HandoverLink::Listen(state.context, state.self, std::move(callbacks));
+      HandoverLink::Listen(state.context, state.self, std::move(callbacks),
+                           state.settings.advertised);
   if (link.has_error()) {
     return link.error();
   }
--- a/peers/handover/handover_link.cc
+++ b/peers/handover/handover_link.cc
@@ -193,13 +193,15 @@
 
 auto HandoverLink::Listen(asio::io_context& context,
                           InstanceRef self,
-                          HandoverLinkCallbacks callbacks)
+                          HandoverLinkCallbacks callbacks,
+                          const std::optional<Address>& advertised)
     -> Result<std::unique_ptr<HandoverLink>, std::string> {
   auto state = std::make_shared<detail::HandoverLinkState>(
       context, std::move(self), std::move(callbacks));
   BOOST_OUTCOME_TRY(StartListening(state->acceptor, state->self.address));
   boost::system::error_code ec;
   state->self.address.port = state->acceptor.local_endpoint(ec).port();
+  state->self.address = advertised.value_or(state->self.address);
   detail::Accept(state);
   return std::unique_ptr<HandoverLink>(new HandoverLink(std::move(state)));
 }
@@ -216,6 +218,11 @@
   return state_->self;
 }
 
+auto HandoverLink::Port() const -> uint16_t {
+  boost::system::error_code ec;
+  return state_->acceptor.local_endpoint(ec).port();
+}
+
 auto HandoverLink::Connect(const Address& peer) -> void {
   if (!state_->outgoing.contains(peer)) {
     detail::StartConnecting(state_, peer);
--- a/peers/handover/handover_link.h
+++ b/peers/handover/handover_link.h
@@ -60,17 +60,20 @@
  public:
   // Starts to listen on the address of `self`. The text of an error contains
   // that address. If the port is 0, the system chooses one, and Self() returns
-  // it.
+  // it. Peers are told `advertised` instead, if given.
   static auto Listen(boost::asio::io_context& context,
                      InstanceRef self,
-                     HandoverLinkCallbacks callbacks)
+                     HandoverLinkCallbacks callbacks,
+                     const std::optional<Address>& advertised = std::nullopt)
       -> Result<std::unique_ptr<HandoverLink>, std::string>;
   ~HandoverLink();
   HandoverLink(const HandoverLink&) = delete;
   auto operator=(const HandoverLink&) -> HandoverLink& = delete;
 
-  // Returns this instance with the port on which it listens.
+  // Returns this instance with the address that peers are told.
   auto Self() const -> const InstanceRef&;
+  // Returns the port on which this instance listens.
+  auto Port() const -> uint16_t;
   // Opens a connection to `peer` unless one is open or being opened. Reports a
   // failure through `on_connect_failed` and does not retry; the caller has to.
   auto Connect(const Address& peer) -> void;
--- a/tests/lab/platform_fleet.cc
+++ b/tests/lab/platform_fleet.cc
@@ -62,8 +62,12 @@
 
 PlatformFleet::PlatformFleet(const std::vector<std::string>& zones,
                              int instances_per_zone,
-                             int workers_per_zone)
+                             int workers_per_zone,
+                             FleetNetwork network)
     : folder_(MakeFolder()), zones_(zones) {
+  if (network == FleetNetwork::kRelayed) {
+    network_ = std::make_unique<PartitionedNetwork>();
+  }
   std::vector<std::string> command = {kStandin,
                                       std::to_string(workers_per_zone)};
   command.insert(command.end(), zones.begin(), zones.end());
@@ -78,6 +82,12 @@
       EntryProcess instance;
       instance.zone = zone;
       instance.name = zone + "-" + std::to_string(i);
+      instance.store = store_;
+      if (network_) {
+        instance.store = network_->AddRelay(instance.name, "store");
+        network_->SetTarget(instance.store, store_);
+        instance.advertised = network_->AddRelay("", instance.name);
+      }
       instances_.push_back(std::move(instance));
       Start(instances_.back());
     }
@@ -88,7 +98,9 @@
   instances_.clear();
   standin_.reset();
   std::error_code ec;
-  std::filesystem::remove_all(folder_, ec);
+  if (getenv("BORAGECROFT_KEEP_LOGS") == nullptr) {
+    std::filesystem::remove_all(folder_, ec);
+  }
 }
 
 auto PlatformFleet::Start(EntryProcess& instance) -> void {
@@ -100,24 +112,61 @@
     out << "zones." << it << "=here\n";
   }
   out << "listen.frontend=127.0.0.1:0\nlisten.readiness=127.0.0.1:0\n"
-      << "listen.control=127.0.0.1:0\nplatform.addr=" << ToString(store_)
-      << "\nlimits.max_fds=2048\n";
+      << "listen.control=127.0.0.1:0\nplatform.addr="
+      << ToString(instance.store) << "\nlimits.max_fds=2048\n";
   out.close();
+  std::vector<std::string> command = {kProgram, "--settings", settings,
+                                      "--metrics-port", "0"};
+  if (instance.advertised) {
+    command.insert(command.end(),
+                   {"--advertise", ToString(*instance.advertised)});
+  }
   instance.process = std::make_unique<ChildProcess>(
-      std::vector<std::string>{kProgram, "--settings", settings,
-                               "--metrics-port", "0"},
-      folder_ + "/" + instance.name + "-" + number + ".log");
+      command, folder_ + "/" + instance.name + "-" + number + ".log");
   const auto line =
       instance.process->WaitForLine("\"event\":\"started\"", kStartTimeout);
   if (line.empty()) {
     throw std::runtime_error(instance.name + " did not start");
   }
   const auto started = boost::json::parse(line).as_object();
+  if (network_) {
+    network_->SetTarget(*instance.advertised,
+                        Loopback(started.at("instances").to_number<int64_t>()));
+  }
   instance.callers = Loopback(started.at("callers").to_number<int64_t>());
   instance.readiness = Loopback(started.at("readiness").to_number<int64_t>());
   instance.metrics = Loopback(started.at("metrics").to_number<int64_t>());
 }
 
+auto PlatformFleet::CutOff(const EntryProcess& instance) -> void {
+  network_->CutOff(instance.name);
+}
+
+auto PlatformFleet::Reconnect(const EntryProcess& instance) -> void {
+  network_->Reconnect(instance.name);
+}
+
+auto PlatformFleet::HeldTerms() const -> std::vector<HeldTerm> {
+  std::vector<HeldTerm> terms;
+  for (const auto& it : instances_) {
+    for (auto i = 1; i <= it.starts; ++i) {
+      const auto process = it.name + "-" + std::to_string(i);
+      std::ifstream in(folder_ + "/" + process + ".log");
+      std::string line;
+      while (std::getline(in, line)) {
+        if (line.find("\"event\":\"group_held\"") == std::string::npos) {
+          continue;
+        }
+        const auto entry = boost::json::parse(line).as_object();
+        terms.push_back({.instance = process,
+                         .group = std::string(entry.at("group").as_string()),
+                         .token = entry.at("token").to_number<uint64_t>()});
+      }
+    }
+  }
+  return terms;
+}
+
 auto PlatformFleet::AwaitService() -> bool {
   constexpr int kMaxSubmissions = 400;
   uint64_t name = 0xffff'0000'0000'0000ULL;
--- a/tests/lab/platform_fleet.h
+++ b/tests/lab/platform_fleet.h
@@ -1,15 +1,17 @@
 // Entry instances and the stand-in of the users' platform, as real processes on
-// loopback.
+// loopback. Their logs are kept in /tmp when BORAGECROFT_KEEP_LOGS is set.
 #ifndef TESTS_LAB_PLATFORM_FLEET_H_
 #define TESTS_LAB_PLATFORM_FLEET_H_
 
 #include <boost/json/object.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "core/base/address.h"
 #include "tests/lab/child_process.h"
+#include "tests/lab/partition.h"
 #include "tests/lab/sync_client.h"
 
 namespace boragecroft::lab {
@@ -21,22 +23,43 @@
   Address readiness;
   Address metrics;
   int starts = 0;  // numbers the log files; each process has its own
+  Address store;   // where it reaches the store
+  std::optional<Address> advertised;
   std::unique_ptr<ChildProcess> process;
 };
 
+// A term of a group's holder, as the holder's log states it.
+struct HeldTerm {
+  std::string instance;  // name and number of its start
+  std::string group;
+  uint64_t token = 0;
+};
+
+enum class FleetNetwork {
+  kDirect,
+  kRelayed,  // instances can be cut off
+};
+
 class PlatformFleet {
  public:
   // Starts the stand-in and, in each zone, the instances "ZONE-1", "ZONE-2" and
   // so on. Throws std::runtime_error when a process does not start.
   PlatformFleet(const std::vector<std::string>& zones,
                 int instances_per_zone,
-                int workers_per_zone);
+                int workers_per_zone,
+                FleetNetwork network = FleetNetwork::kDirect);
   ~PlatformFleet();
   PlatformFleet(const PlatformFleet&) = delete;
   auto operator=(const PlatformFleet&) -> PlatformFleet& = delete;
 
   auto Instances() -> std::vector<EntryProcess>& { return instances_; }
   auto Start(EntryProcess& instance) -> void;
+  // Cuts an instance off from the store and from all other instances, but not
+  // from the workers and its callers. Needs FleetNetwork::kRelayed.
+  auto CutOff(const EntryProcess& instance) -> void;
+  auto Reconnect(const EntryProcess& instance) -> void;
+  // Returns the terms of all processes so far, of each process in order.
+  auto HeldTerms() const -> std::vector<HeldTerm>;
   // Submits jobs until each instance has served one. Returns false when an
   // instance served none of 400.
   auto AwaitService() -> bool;
@@ -57,6 +80,7 @@
   Address control_;
   std::vector<std::string> zones_;
   std::unique_ptr<ChildProcess> standin_;
+  std::unique_ptr<PartitionedNetwork> network_;  // null: direct connections
   std::vector<EntryProcess> instances_;
 };
 
