Hold relayed connections back until their source is known

In the logs the cut-off successor loses a connection to the holder every 600 ms: the test's relay passed the holder's first message on before it knew that the successor had opened the connection, so the holder seemed reachable again and again.

Change: nothing passes before the source is known.

--- a/tests/lab/partition.cc
+++ b/tests/lab/partition.cc
@@ -74,8 +74,10 @@
     std::array<char, 16384> buf{};
   };
 
+  // Nothing passes before it is known which instance opened the connection.
   auto IsCut() const -> bool {
-    return cut_off_.contains(from_) || cut_off_.contains(relay_.to);
+    return from_.empty() || cut_off_.contains(from_) ||
+           cut_off_.contains(relay_.to);
   }
 
   auto Read(Direction& at) -> void {
@@ -98,7 +100,8 @@
   }
 
   auto Deliver(Direction& at, boost::system::error_code ec, size_t n) -> void {
-    if (IsCut()) {
+    const auto source_gone = ec && from_.empty();
+    if (IsCut() && !source_gone) {
       at.timer.expires_after(kPollInterval);
       at.timer.async_wait(
           [self = shared_from_this(), &at, ec, n](boost::system::error_code) {
