Derive fencing tokens from the store's version

Cause: kept the highest token of a group in its row, so the next token depended on what the present row says. The assumption that broke is that everyone who writes the row keeps what it remembers.

A row names at most six tokens, all above eight times the version of the row that it replaces, or of the store when all rows were read. So the tokens of two rows differ whatever the rows say. The field stays, for instances of earlier versions.

Ruled out: a row of its own for the mark, which costs a second row in each write and which an earlier version does not read either.

New: tokens are large and depend on the store's counter. With a new, empty store the workers' fences from before would be higher than all new tokens, as with the former small ones.

--- a/main/entry/store_flow.cc
+++ b/main/entry/store_flow.cc
@@ -84,7 +84,7 @@
                   const std::string& table,
                   milliseconds pause,
                   void (*on_row)(EntryState&, const platform::StoreRow&),
-                  std::function<void()> on_complete,
+                  std::function<void(uint64_t version)> on_complete,
                   std::function<void(Instant known_until)> on_current)
     -> std::shared_ptr<platform::TableFollower> {
   platform::TableCallbacks callbacks;
@@ -117,17 +117,19 @@
 auto FollowStore(EntryState& state) -> void {
   state.store = std::make_unique<platform::StoreClient>(state.context,
                                                         state.settings.store);
+  const auto ignore_version = [](uint64_t /*version*/) {};
   const auto ignore_time = [](Instant /*known_until*/) {};
-  state.operator_rows = MakeFollower(
-      state, platform::kOperatorTable, kNoFeedPause, OnOperatorRow, [] {},
-      ignore_time);
+  state.operator_rows =
+      MakeFollower(state, platform::kOperatorTable, kNoFeedPause, OnOperatorRow,
+                   ignore_version, ignore_time);
   state.worker_rows = MakeFollower(
-      state, platform::kWorkerTable, kWorkerFeedPause, OnWorkerRow, [] {},
+      state, platform::kWorkerTable, kWorkerFeedPause, OnWorkerRow,
+      ignore_version,
       [&state](Instant known_until) { OnWorkersRead(state, known_until); });
   state.group_rows = MakeFollower(
       state, platform::kGroupTable, kNoFeedPause, OnGroupTableRow,
-      [&state] {
-        state.succession.rows_known = true;
+      [&state](uint64_t version) {
+        OnRowsRead(state.succession, version);
         ArmDueTimer(state);
       },
       ignore_time);
--- a/servers/succession/succession.cc
+++ b/servers/succession/succession.cc
@@ -31,6 +31,10 @@
 // Minimum time between two writes of changed successors.
 constexpr milliseconds kSuccessorUpdateInterval{1500};
 constexpr size_t kMaxSuccessors = 5;
+// Distance between the lowest tokens of two consecutive versions of the store.
+// A row names one token for its holder and one for each successor.
+constexpr uint64_t kTokensPerVersion = 8;
+static_assert(kTokensPerVersion > kMaxSuccessors + 1);
 // Number of successors that follow the table of the workers, so that they can
 // take over at once. The others read it when they begin to hold a group: on
 // hundreds of instances the table would use up the links of the small ones.
@@ -43,15 +47,26 @@
 constexpr uint32_t kStrongProcessorMillis = 500;
 constexpr milliseconds kMaxWeakDelay{250};
 
-auto HighestToken(const GroupTerm& term) -> uint64_t {
-  uint64_t n = term.holder ? term.holder->token : 0;
+// Returns the highest token that the rows of the version `version` and of
+// earlier ones may name.
+auto MaxTokenOfVersion(uint64_t version) -> uint64_t {
+  return version * kTokensPerVersion;
+}
+
+// Returns the lowest token that nobody may have been given.
+auto NextToken(const Succession& state, const GroupTerm& term) -> uint64_t {
+  auto n = MaxTokenOfVersion(state.store_version);
+  if (term.holder) {
+    n = std::max(n, term.holder->token);
+  }
   if (term.row) {
-    n = std::max({n, term.row->token, term.row->highest_token});
+    n = std::max({n, MaxTokenOfVersion(term.row->version), term.row->token,
+                  term.row->highest_token});
     for (const auto& it : term.row->successors) {
       n = std::max(n, it.token);
     }
   }
-  return n;
+  return n + 1;
 }
 
 // Returns the instances that can take over without the store: those of the
@@ -76,7 +91,7 @@
 auto MakeRow(const Succession& state,
              const std::string& group,
              const GroupTerm& term) -> GroupRow {
-  auto next = HighestToken(term) + 1;
+  auto next = NextToken(state, term);
   GroupRow row;
   row.group = group;
   row.holder = state.self;
@@ -268,6 +283,11 @@
               Successor{.instance = row.holder, .token = row.token}, now, out);
 }
 
+auto OnRowsRead(Succession& state, uint64_t version) -> void {
+  state.rows_known = true;
+  state.store_version = std::max(state.store_version, version);
+}
+
 auto OnAnnounced(Succession& state,
                  const std::string& group,
                  const Successor& holder,
--- a/servers/succession/succession.h
+++ b/servers/succession/succession.h
@@ -5,8 +5,12 @@
 // token, and its successors, each with a higher token that is reserved for it.
 // The holder is changed by a conditional write. While the store is unreachable,
 // a successor that has lost the holder takes over with its reserved token, and
-// the workers then refuse the former holder. No two instances ever use the same
-// token.
+// the workers then refuse the former holder.
+//
+// No two processes ever use the same token. The tokens that a row names are
+// above a bound that follows from the store's version when the former row was
+// read. Versions of the store only increase, so the bound does not depend on
+// what earlier rows say, on who wrote them, or on whether they still exist.
 #ifndef SERVERS_SUCCESSION_SUCCESSION_H_
 #define SERVERS_SUCCESSION_SUCCESSION_H_
 
@@ -46,8 +50,8 @@
   InstanceRef holder;
   uint64_t token = 0;
   std::vector<Successor> successors;  // in the order in which they take over
-  // Highest token that this row or an earlier one has named. Instances that are
-  // no longer successors may still use the tokens that were reserved for them.
+  // Highest token that this row or an earlier one has named. Earlier versions
+  // of the program derive the next token from it.
   uint64_t highest_token = 0;
   uint64_t version = 0;  // version of the row; 0 when there is none yet
 };
@@ -81,6 +85,8 @@
   InstanceRef self;
   bool leaving = false;
   bool rows_known = false;  // the store or a peer has reported the rows
+  // Version of the store at which all rows were last read; 0: not read yet.
+  uint64_t store_version = 0;
   Instant started;
   std::map<std::string, GroupTerm> groups;
   // Instances that are connected to this one, by address.
@@ -118,6 +124,8 @@
                 const GroupRow& row,
                 Instant now,
                 SuccessionCommands& out) -> void;
+// Handles that all rows that the store had at `version` have been reported.
+auto OnRowsRead(Succession& state, uint64_t version) -> void;
 // Handles the announcement of a peer that it holds the group with a token.
 auto OnAnnounced(Succession& state,
                  const std::string& group,
--- a/tests/platform/table_follower_test.cc
+++ b/tests/platform/table_follower_test.cc
@@ -45,7 +45,7 @@
     callbacks.on_row = [this](const StoreRow& row) {
       seen.push_back((row.deleted ? "-" : "+") + row.key);
     };
-    callbacks.on_complete = [this] { ++completed; };
+    callbacks.on_complete = [this](uint64_t /*version*/) { ++completed; };
     callbacks.on_current = [this](Instant until) { known_until = until; };
     callbacks.on_availability_changed = [](bool /*available*/) {};
     follower = std::make_shared<TableFollower>(
@@ -128,7 +128,7 @@
     FollowedTable::SetUp();
     TableCallbacks callbacks;
     callbacks.on_row = [this](const StoreRow& row) { seen.push_back(row.key); };
-    callbacks.on_complete = [this] { ++completed; };
+    callbacks.on_complete = [this](uint64_t /*version*/) { ++completed; };
     callbacks.on_current = [this](Instant /*until*/) { ++times_current; };
     callbacks.on_availability_changed = [](bool /*available*/) {};
     follower = std::make_shared<TableFollower>(
