Report a fencing token that two processes use, and claim a higher one

Callers would see: beside an instance of an earlier version two instances hold one zone with the same token, and its workers get tasks beyond their capacity until the holder changes.

Cause: an announcement or a row with an equal token was ignored as old news, also from another process. The assumption was that tokens are never shared.

Change: an equal token of another process is logged, counted (token_shared) and announced to all peers, so that two holders that don't reach each other hear of it; the holder claims a higher token at once. While the store is away the process with the lower incarnation gives the group up.

Evidence: SharedToken.* state what the former code lacks.

New: a peer's false equal token makes a holder change its token, or give the group up without the store.

--- a/main/entry/peer_flow.cc
+++ b/main/entry/peer_flow.cc
@@ -141,13 +141,13 @@
     -> void {
   const auto& term = state.succession.groups[message.group];
   const auto newer = !term.holder || message.holder.token > term.holder->token;
-  if (!newer) {
-    return;
-  }
   SuccessionCommands commands;
   OnAnnounced(state.succession, message.group, message.holder, BootClock::now(),
               commands);
   RunSuccessionCommands(state, commands);
+  if (!newer) {
+    return;
+  }
   state.link->Connect(message.holder.instance.address);
   state.link->Broadcast(message);
 }
--- a/main/entry/succession_flow.cc
+++ b/main/entry/succession_flow.cc
@@ -76,6 +76,20 @@
   state.schedulers.at(command.group).leaving = true;
 }
 
+auto Execute(EntryState& state, const ReportSharedToken& command) -> void {
+  Log(LogLevel::kError, "token_shared",
+      {{"group", command.group},
+       {"token", command.known.token},
+       {"holder", command.known.instance.name},
+       {"rival", command.rival.name}});
+  state.metrics.CountEvent("token_shared");
+  for (const auto& it : {command.known.instance, command.rival}) {
+    state.link->Broadcast(HolderAnnouncement{
+        .group = command.group,
+        .holder = {.instance = it, .token = command.known.token}});
+  }
+}
+
 // Marks the holder of a group as terminated when another incarnation answers at
 // its address.
 auto MarkReplacedHolders(EntryState& state, LinkId link) -> void {
--- a/servers/succession/succession.cc
+++ b/servers/succession/succession.cc
@@ -92,10 +92,11 @@
              const std::string& group,
              const GroupTerm& term) -> GroupRow {
   auto next = NextToken(state, term);
+  const auto keeps_token = term.held && !term.rival;
   GroupRow row;
   row.group = group;
   row.holder = state.self;
-  row.token = term.held ? term.holder->token : next++;
+  row.token = keeps_token ? term.holder->token : next++;
   row.version = term.row && !term.row_deleted ? term.row->version : 0;
   for (const auto& it : Candidates(state, group)) {
     row.successors.push_back(Successor{.instance = it, .token = next++});
@@ -111,6 +112,25 @@
       [](const Successor& a, const InstanceRef& b) { return a.instance == b; });
 }
 
+// Detects that another process uses the token of the known holder. Each token
+// is reported once.
+auto DetectSharedToken(GroupTerm& term,
+                       const std::string& group,
+                       const Successor& holder,
+                       Instant now,
+                       SuccessionCommands& out) -> void {
+  const auto& known = *term.holder;
+  const auto shared = holder.token == known.token &&
+                      holder.instance.incarnation != known.instance.incarnation;
+  if (!shared || term.rival) {
+    return;
+  }
+  term.rival = holder.instance;
+  term.next_write = now;
+  out.push_back(ReportSharedToken{
+      .group = group, .known = known, .rival = holder.instance});
+}
+
 auto AdoptHolder(Succession& state,
                  GroupTerm& term,
                  const std::string& group,
@@ -118,8 +138,10 @@
                  Instant now,
                  SuccessionCommands& out) -> void {
   if (term.holder && holder.token <= term.holder->token) {
+    DetectSharedToken(term, group, holder, now, out);
     return;
   }
+  term.rival.reset();
   const auto same = term.holder && term.holder->instance == holder.instance;
   term.holder = holder;
   const auto own = holder.instance == state.self;
@@ -234,7 +256,8 @@
     return std::nullopt;
   }
   const auto written =
-      term.row && !term.row_deleted && term.row->holder == state.self &&
+      term.row && !term.row_deleted && !term.rival &&
+      term.row->holder == state.self &&
       SameInstances(term.row->successors, Candidates(state, group));
   if (written) {
     return std::nullopt;
@@ -348,8 +371,9 @@
   if (result == RowWrite::kWritten) {
     auto written = row;
     written.version = version;
-    term.next_write = now + kSuccessorUpdateInterval;
     OnGroupRow(state, written, now, out);
+    term.next_write =
+        now + (term.rival ? milliseconds{0} : kSuccessorUpdateInterval);
     return;
   }
   term.next_write = now + kWriteRetryDelay;
@@ -359,6 +383,16 @@
     AdoptHolder(state, term, row.group,
                 Successor{.instance = state.self, .token = *reserved}, now,
                 out);
+    return;
+  }
+  // Without the store neither process gets a higher token. The one with the
+  // lower incarnation gives the group up.
+  const auto gives_way =
+      term.held && term.rival &&
+      state.self.incarnation.value < term.rival->incarnation.value;
+  if (result == RowWrite::kUnknown && gives_way) {
+    Relinquish(term, now);
+    out.push_back(EndHolding{row.group});
   }
 }
 
--- a/servers/succession/succession.h
+++ b/servers/succession/succession.h
@@ -72,6 +72,9 @@
   // The known holder with the highest token: from the row, from an
   // announcement, or this instance.
   std::optional<Successor> holder;
+  // Another process that uses the holder's token. The workers can't tell the
+  // two apart, so the holder must claim a higher token.
+  std::optional<InstanceRef> rival;
   HolderStatus status = HolderStatus::kUnknown;
   Instant status_since;
   bool held = false;  // set when this instance is the holder
@@ -111,8 +114,18 @@
 struct YieldGroup {
   std::string group;
 };
-using SuccessionCommand =
-    std::variant<WriteGroupRow, BeginHolding, EndHolding, YieldGroup>;
+// Reports that two processes use one token. They may not be connected to each
+// other, so both are announced to all peers.
+struct ReportSharedToken {
+  std::string group;
+  Successor known;
+  InstanceRef rival;
+};
+using SuccessionCommand = std::variant<WriteGroupRow,
+                                       BeginHolding,
+                                       EndHolding,
+                                       YieldGroup,
+                                       ReportSharedToken>;
 using SuccessionCommands = std::vector<SuccessionCommand>;
 
 enum class RowWrite : uint8_t {
--- a/tests/servers/succession/succession_test.cc
+++ b/tests/servers/succession/succession_test.cc
@@ -78,6 +78,79 @@
   EXPECT_GT(Take<WriteGroupRow>(out).at(0).row.token, 2U);
 }
 
+// The instance holds the group, and another process uses the same token.
+class SharedToken : public SuccessionFixture {
+ protected:
+  void SetUp() override {
+    SuccessionFixture::SetUp();
+    OnGroupRow(state, Row(5, self, 10, {}), now, out);
+    out.clear();
+  }
+};
+
+// Guards against a token that two processes use unnoticed: their orders look
+// the same to the workers, which then get tasks beyond their capacity.
+TEST_F(SharedToken, IsReportedOnceAndReplacedByHigherOne) {
+  OnAnnounced(state, "north", {other, 10}, now, out);
+  ASSERT_EQ(Take<ReportSharedToken>(out).size(), 1);
+  OnAnnounced(state, "north", {other, 10}, now, out);
+  EXPECT_TRUE(out.empty());
+  AdvanceTime(milliseconds{0});
+  const auto write = Take<WriteGroupRow>(out).at(0);
+  EXPECT_EQ(write.row.version, 5);
+  EXPECT_GT(write.row.token, 10);
+  OnRowWritten(state, write.row, RowWrite::kWritten, 6, now, out);
+  const auto begun = Take<BeginHolding>(out);
+  ASSERT_EQ(begun.size(), 1);
+  EXPECT_EQ(begun[0].token, write.row.token);
+  AdvanceTime(seconds(2));
+  EXPECT_TRUE(out.empty());
+}
+
+TEST_F(SharedToken, IsReplacedAtOnceWhenNoticedDuringWrite) {
+  state.connected[third.address] = third;
+  AdvanceTime(seconds(2));
+  const auto earlier = Take<WriteGroupRow>(out).at(0).row;
+  OnAnnounced(state, "north", {other, 10}, now, out);
+  OnRowWritten(state, earlier, RowWrite::kWritten, 6, now, out);
+  out.clear();
+  AdvanceTime(milliseconds{0});
+  EXPECT_GT(Take<WriteGroupRow>(out).at(0).row.token, 10);
+}
+
+TEST_F(SharedToken, IsNoticedInRow) {
+  OnGroupRow(state, Row(6, other, 10, {}), now, out);
+  EXPECT_EQ(Take<ReportSharedToken>(out).size(), 1);
+}
+
+TEST_F(SharedToken, IsReportedByInstanceThatDoesNotHoldGroup) {
+  OnAnnounced(state, "north", {other, 11}, now, out);
+  out.clear();
+  OnAnnounced(state, "north", {third, 11}, now, out);
+  EXPECT_EQ(Take<ReportSharedToken>(out).size(), 1);
+  AdvanceTime(seconds(2));
+  EXPECT_TRUE(out.empty());
+}
+
+TEST_F(SharedToken, IsGivenUpByLowerIncarnationWithoutStore) {
+  OnAnnounced(state, "north", {other, 10}, now, out);
+  AdvanceTime(milliseconds{0});
+  const auto write = Take<WriteGroupRow>(out).at(0);
+  OnRowWritten(state, write.row, RowWrite::kUnknown, 0, now, out);
+  EXPECT_EQ(Take<EndHolding>(out).size(), 1);
+}
+
+TEST_F(SharedToken, IsKeptByHigherIncarnationWithoutStore) {
+  state.self.incarnation = Incarnation{99};
+  OnGroupRow(state, Row(6, state.self, 11, {}), now, out);
+  OnAnnounced(state, "north", {other, 11}, now, out);
+  out.clear();
+  AdvanceTime(milliseconds{0});
+  const auto write = Take<WriteGroupRow>(out).at(0);
+  OnRowWritten(state, write.row, RowWrite::kUnknown, 0, now, out);
+  EXPECT_TRUE(Take<EndHolding>(out).empty());
+}
+
 class DeletedRow : public SuccessionFixture {};
 
 // Guards against a group that can't change hands any more: each conditional
