Keep a peer as a successor while it has another connection

Callers would see: after a partition a zone has no successor with a token, so that when its holder ends during an outage of the store nobody serves the zone.

Cause: the end of any connection of a peer removed it from the instances from which successors are taken, also when the peer's process had reconnected before the old connection's end was noticed. It stayed out as long as the new connection lasted.

Change: it stays while the process has another connection that it opened.

Evidence: ReconnectedPeer.StaysCandidateWhenOldConnectionEnds failed before (0 entries instead of 1). New: a peer counts as connected until its last connection ends.

--- a/main/entry/succession_flow.cc
+++ b/main/entry/succession_flow.cc
@@ -1,5 +1,6 @@
 #include "main/entry/succession_flow.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -118,6 +119,15 @@
   state.link->Send(link, MakeHeartbeat(state, false));
 }
 
+// Returns whether the process has a connection open that it opened itself.
+auto HasConnectionFrom(const EntryState& state, const InstanceRef& process)
+    -> bool {
+  return std::any_of(state.peers.begin(), state.peers.end(),
+                     [&](const auto& it) {
+                       return !it.second.opened && it.second.peer == process;
+                     });
+}
+
 auto OnEnd(EntryState& state, LinkId link, LinkEnd end, Instant lost_at)
     -> void {
   const auto it = state.peers.find(link);
@@ -137,7 +147,7 @@
     SetHolderStatus(state, peer.peer.address, HolderStatus::kUnresponsive);
     RefreshViewsOf(state, peer.peer.address);
     state.link->Connect(peer.peer.address);
-  } else {
+  } else if (!HasConnectionFrom(state, peer.peer)) {
     const auto known = state.succession.connected.find(peer.peer.address);
     if (known != state.succession.connected.end() &&
         known->second == peer.peer) {
