Cancel a job wherever it is at work

Cause: every request for a job other than POST was answered 410 without a look at the jobs at work.

Change: the instance that is asked ends the job if it is its origin or its holder, and asks the holders of all other groups, one message each. A holder ends the job, remembers its name for 20 s, reports it to its origin and confirms. 200 when it was found, 410 when all holders confirmed that they don't have it, 503 when one can't be asked or doesn't confirm within 1 s. The waiting caller gets 200, state cancelled, also when it sends the job again.

New: anyone who may call can end a job by its name, also before it arrives; a cancelled name is forgotten after 20 s or behind 20,000 others. Not covered: a holder that ends between its confirmation and its message to the origin.

--- a/main/entry/entry_instance.cc
+++ b/main/entry/entry_instance.cc
@@ -7,6 +7,7 @@
 
 #include "core/base/random.h"
 #include "core/log/log.h"
+#include "main/entry/cancel_flow.h"
 #include "main/entry/group_flow.h"
 #include "main/entry/job_flow.h"
 #include "main/entry/store_flow.h"
@@ -138,7 +139,8 @@
     // on it.
     state.caller_server->Drain();
   }
-  const auto idle = state.callers.empty() && state.schedulers.empty();
+  const auto idle = state.callers.empty() && state.cancel_callers.empty() &&
+                    state.schedulers.empty();
   if ((passed >= kDeregistrationTime && idle) || passed >= kMaxDrainTime) {
     Log(LogLevel::kInfo, "stopped", {{"unanswered", state.callers.size()}});
     state.context.stop();
@@ -155,6 +157,9 @@
   IntakeCommands intake;
   OnTime(state.intake, now, intake);
   RunIntakeCommands(state, intake);
+  CancelCommands cancels;
+  OnTime(state.cancellations, now, cancels);
+  RunCancelCommands(state, cancels);
 }
 
 auto ScheduleHeartbeat(EntryState& state) -> void {
@@ -186,6 +191,7 @@
     }
   };
   consider(NextDue(state.intake));
+  consider(NextDue(state.cancellations));
   for (const auto& [group, scheduler] : state.schedulers) {
     consider(NextDue(scheduler));
   }
--- a/main/entry/entry_metrics.cc
+++ b/main/entry/entry_metrics.cc
@@ -31,8 +31,9 @@
                         .Name("boragecroft_answer_seconds")
                         .Help("Time from a request to its answer, by outcome")
                         .Register(*registry_)) {
-  for (const auto it : {JobOutcome::kDone, JobOutcome::kFailed,
-                        JobOutcome::kRefused, JobOutcome::kStopped}) {
+  for (const auto it :
+       {JobOutcome::kDone, JobOutcome::kFailed, JobOutcome::kRefused,
+        JobOutcome::kStopped, JobOutcome::kCancelled}) {
     answer_counters_[it] = &answers_.Add({{"outcome", OutcomeName(it)}});
     answer_histograms_[it] =
         &answer_times_.Add({{"outcome", OutcomeName(it)}}, AnswerBuckets());
@@ -68,6 +69,8 @@
       return "refused";
     case JobOutcome::kStopped:
       return "stopped";
+    case JobOutcome::kCancelled:
+      return "cancelled";
   }
   return "unknown";
 }
--- a/main/entry/entry_state.h
+++ b/main/entry/entry_state.h
@@ -21,6 +21,7 @@
 #include "platform/store_client.h"
 #include "platform/table_follower.h"
 #include "platform/worker_client.h"
+#include "servers/cancellation/cancellation.h"
 #include "servers/intake/intake.h"
 #include "servers/routing/routes.h"
 #include "servers/routing/routes_refresh.h"
@@ -78,6 +79,9 @@
   std::map<LinkId, PeerLink> peers;
   std::unordered_map<JobName, WaitingCaller> callers;
   std::unordered_map<uint64_t, JobName> jobs_by_request;
+  Cancellations cancellations;
+  // The callers whose cancel requests are not yet confirmed.
+  std::map<CancelNumber, HttpResponder> cancel_callers;
 
   std::unique_ptr<platform::StoreClient> store;
   std::shared_ptr<platform::TableFollower> operator_rows;
--- a/main/entry/job_flow.cc
+++ b/main/entry/job_flow.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "core/log/log.h"
+#include "main/entry/cancel_flow.h"
 #include "main/entry/entry_instance.h"
 #include "main/entry/group_flow.h"
 #include "main/entry/suspension.h"
@@ -72,6 +73,11 @@
             HttpResponder respond) -> void {
   const auto name = offer.name;
   const auto now = BootClock::now();
+  if (IsCancelled(state.cancellations, name, now)) {
+    respond(platform::EncodeResult(
+        {.name = name, .outcome = JobOutcome::kCancelled}));
+    return;
+  }
   if (state.callers.contains(name)) {
     // The same job arrived on another connection. The first request is still
     // served; if that brings no answer, this caller sends the job again.
@@ -159,6 +165,10 @@
   auto caller = std::move(it->second);
   state.callers.erase(it);
   state.jobs_by_request.erase(caller.request);
+  if (command.result.outcome == JobOutcome::kCancelled) {
+    RememberCancelled(state.cancellations, command.result.name,
+                      BootClock::now());
+  }
   const auto elapsed = BootClock::now() - caller.arrived;
   state.metrics.CountAnswer(command.result.outcome, elapsed);
   LogAnswer(state, command.result, command.group, elapsed);
@@ -208,6 +218,11 @@
                  std::move(respond));
     return;
   }
+  const auto job = platform::ParseJobName(found->rest);
+  if (request.method == "DELETE" && job) {
+    OnCallerCancel(state, *job, std::move(respond));
+    return;
+  }
   respond(AnswerState(state, *found->route, request.method, found->rest));
 }
 
--- a/main/entry/peer_flow.cc
+++ b/main/entry/peer_flow.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "main/entry/cancel_flow.h"
 #include "main/entry/group_flow.h"
 #include "main/entry/job_flow.h"
 #include "main/entry/store_flow.h"
@@ -45,6 +46,17 @@
   }
 }
 
+auto Handle(EntryState& state, LinkId link, CancelRequest& message) -> void {
+  OnPeerCancel(state, link, message);
+}
+
+auto Handle(EntryState& state, LinkId link, CancelReply& message) -> void {
+  CancelCommands commands;
+  OnCancelConfirmed(state.cancellations, link, message.number, message.found,
+                    commands);
+  RunCancelCommands(state, commands);
+}
+
 auto Handle(EntryState& /*state*/, LinkId /*link*/, HelloMessage& /*message*/)
     -> void {}
 
@@ -66,6 +78,16 @@
 }
 
 auto Handle(EntryState& state, LinkId link, OfferMessage& message) -> void {
+  const auto name = message.offer.name;
+  if (IsCancelled(state.cancellations, name, BootClock::now())) {
+    ResultMessage reply;
+    reply.result = {.name = name,
+                    .outcome = JobOutcome::kCancelled,
+                    .submission = message.offer.submission};
+    reply.status = StatusOf(state, message.group);
+    state.link->Send(link, reply);
+    return;
+  }
   const auto held_group = state.schedulers.find(message.group);
   if (held_group == state.schedulers.end()) {
     // The next heartbeat tells the sender which instance holds the group.
--- a/main/entry/succession_flow.cc
+++ b/main/entry/succession_flow.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "core/log/log.h"
+#include "main/entry/cancel_flow.h"
 #include "main/entry/entry_instance.h"
 #include "main/entry/group_flow.h"
 #include "main/entry/job_flow.h"
@@ -143,6 +144,9 @@
   for (auto& [group, scheduler] : state.schedulers) {
     OnOriginLost(scheduler, link, lost_at);
   }
+  CancelCommands commands;
+  OnHolderLost(state.cancellations, link, commands);
+  RunCancelCommands(state, commands);
   if (peer.opened) {
     SetHolderStatus(state, peer.peer.address, HolderStatus::kUnresponsive);
     RefreshViewsOf(state, peer.peer.address);
--- a/peers/handover/gen/handover_types.cpp
+++ b/peers/handover/gen/handover_types.cpp
@@ -2265,6 +2265,252 @@
 }
 
 
+WireCancelRequest::~WireCancelRequest() noexcept {
+}
+
+
+void WireCancelRequest::__set_job(const int64_t val) {
+  this->job = val;
+}
+
+void WireCancelRequest::__set_number(const int64_t val) {
+  this->number = val;
+}
+std::ostream& operator<<(std::ostream& out, const WireCancelRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WireCancelRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->job);
+          this->__isset.job = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t WireCancelRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WireCancelRequest");
+
+  xfer += oprot->writeFieldBegin("job", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->job);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WireCancelRequest &a, WireCancelRequest &b) {
+  using ::std::swap;
+  swap(a.job, b.job);
+  swap(a.number, b.number);
+  swap(a.__isset, b.__isset);
+}
+
+WireCancelRequest::WireCancelRequest(const WireCancelRequest& other64) noexcept {
+  job = other64.job;
+  number = other64.number;
+  __isset = other64.__isset;
+}
+WireCancelRequest::WireCancelRequest(WireCancelRequest&& other65) noexcept {
+  job = other65.job;
+  number = other65.number;
+  __isset = other65.__isset;
+}
+WireCancelRequest& WireCancelRequest::operator=(const WireCancelRequest& other66) noexcept {
+  job = other66.job;
+  number = other66.number;
+  __isset = other66.__isset;
+  return *this;
+}
+WireCancelRequest& WireCancelRequest::operator=(WireCancelRequest&& other67) noexcept {
+  job = other67.job;
+  number = other67.number;
+  __isset = other67.__isset;
+  return *this;
+}
+void WireCancelRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WireCancelRequest(";
+  out << "job=" << to_string(job);
+  out << ", " << "number=" << to_string(number);
+  out << ")";
+}
+
+
+WireCancelReply::~WireCancelReply() noexcept {
+}
+
+
+void WireCancelReply::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void WireCancelReply::__set_found(const bool val) {
+  this->found = val;
+}
+std::ostream& operator<<(std::ostream& out, const WireCancelReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WireCancelReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->found);
+          this->__isset.found = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t WireCancelReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WireCancelReply");
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("found", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->found);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WireCancelReply &a, WireCancelReply &b) {
+  using ::std::swap;
+  swap(a.number, b.number);
+  swap(a.found, b.found);
+  swap(a.__isset, b.__isset);
+}
+
+WireCancelReply::WireCancelReply(const WireCancelReply& other68) noexcept {
+  number = other68.number;
+  found = other68.found;
+  __isset = other68.__isset;
+}
+WireCancelReply::WireCancelReply(WireCancelReply&& other69) noexcept {
+  number = other69.number;
+  found = other69.found;
+  __isset = other69.__isset;
+}
+WireCancelReply& WireCancelReply::operator=(const WireCancelReply& other70) noexcept {
+  number = other70.number;
+  found = other70.found;
+  __isset = other70.__isset;
+  return *this;
+}
+WireCancelReply& WireCancelReply::operator=(WireCancelReply&& other71) noexcept {
+  number = other71.number;
+  found = other71.found;
+  __isset = other71.__isset;
+  return *this;
+}
+void WireCancelReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WireCancelReply(";
+  out << "number=" << to_string(number);
+  out << ", " << "found=" << to_string(found);
+  out << ")";
+}
+
+
 WireHandover::~WireHandover() noexcept {
 }
 
@@ -2318,6 +2564,16 @@
   this->tenure = val;
 __isset.tenure = true;
 }
+
+void WireHandover::__set_cancel_request(const WireCancelRequest& val) {
+  this->cancel_request = val;
+__isset.cancel_request = true;
+}
+
+void WireHandover::__set_cancel_reply(const WireCancelReply& val) {
+  this->cancel_reply = val;
+__isset.cancel_reply = true;
+}
 std::ostream& operator<<(std::ostream& out, const WireHandover& obj)
 {
   obj.printTo(out);
@@ -2426,6 +2682,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->cancel_request.read(iprot);
+          this->__isset.cancel_request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->cancel_reply.read(iprot);
+          this->__isset.cancel_reply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2493,6 +2765,16 @@
     xfer += this->tenure.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.cancel_request) {
+    xfer += oprot->writeFieldBegin("cancel_request", ::apache::thrift::protocol::T_STRUCT, 11);
+    xfer += this->cancel_request.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.cancel_reply) {
+    xfer += oprot->writeFieldBegin("cancel_reply", ::apache::thrift::protocol::T_STRUCT, 12);
+    xfer += this->cancel_reply.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2510,61 +2792,71 @@
   swap(a.snapshot_request, b.snapshot_request);
   swap(a.snapshot, b.snapshot);
   swap(a.tenure, b.tenure);
+  swap(a.cancel_request, b.cancel_request);
+  swap(a.cancel_reply, b.cancel_reply);
   swap(a.__isset, b.__isset);
 }
 
-WireHandover::WireHandover(const WireHandover& other64) {
-  hello = other64.hello;
-  heartbeat = other64.heartbeat;
-  offer = other64.offer;
-  cancel = other64.cancel;
-  result = other64.result;
-  configuration_request = other64.configuration_request;
-  configuration = other64.configuration;
-  snapshot_request = other64.snapshot_request;
-  snapshot = other64.snapshot;
-  tenure = other64.tenure;
-  __isset = other64.__isset;
-}
-WireHandover::WireHandover(WireHandover&& other65) noexcept {
-  hello = std::move(other65.hello);
-  heartbeat = std::move(other65.heartbeat);
-  offer = std::move(other65.offer);
-  cancel = std::move(other65.cancel);
-  result = std::move(other65.result);
-  configuration_request = std::move(other65.configuration_request);
-  configuration = std::move(other65.configuration);
-  snapshot_request = std::move(other65.snapshot_request);
-  snapshot = std::move(other65.snapshot);
-  tenure = std::move(other65.tenure);
-  __isset = other65.__isset;
-}
-WireHandover& WireHandover::operator=(const WireHandover& other66) {
-  hello = other66.hello;
-  heartbeat = other66.heartbeat;
-  offer = other66.offer;
-  cancel = other66.cancel;
-  result = other66.result;
-  configuration_request = other66.configuration_request;
-  configuration = other66.configuration;
-  snapshot_request = other66.snapshot_request;
-  snapshot = other66.snapshot;
-  tenure = other66.tenure;
-  __isset = other66.__isset;
+WireHandover::WireHandover(const WireHandover& other72) {
+  hello = other72.hello;
+  heartbeat = other72.heartbeat;
+  offer = other72.offer;
+  cancel = other72.cancel;
+  result = other72.result;
+  configuration_request = other72.configuration_request;
+  configuration = other72.configuration;
+  snapshot_request = other72.snapshot_request;
+  snapshot = other72.snapshot;
+  tenure = other72.tenure;
+  cancel_request = other72.cancel_request;
+  cancel_reply = other72.cancel_reply;
+  __isset = other72.__isset;
+}
+WireHandover::WireHandover(WireHandover&& other73) noexcept {
+  hello = std::move(other73.hello);
+  heartbeat = std::move(other73.heartbeat);
+  offer = std::move(other73.offer);
+  cancel = std::move(other73.cancel);
+  result = std::move(other73.result);
+  configuration_request = std::move(other73.configuration_request);
+  configuration = std::move(other73.configuration);
+  snapshot_request = std::move(other73.snapshot_request);
+  snapshot = std::move(other73.snapshot);
+  tenure = std::move(other73.tenure);
+  cancel_request = std::move(other73.cancel_request);
+  cancel_reply = std::move(other73.cancel_reply);
+  __isset = other73.__isset;
+}
+WireHandover& WireHandover::operator=(const WireHandover& other74) {
+  hello = other74.hello;
+  heartbeat = other74.heartbeat;
+  offer = other74.offer;
+  cancel = other74.cancel;
+  result = other74.result;
+  configuration_request = other74.configuration_request;
+  configuration = other74.configuration;
+  snapshot_request = other74.snapshot_request;
+  snapshot = other74.snapshot;
+  tenure = other74.tenure;
+  cancel_request = other74.cancel_request;
+  cancel_reply = other74.cancel_reply;
+  __isset = other74.__isset;
   return *this;
 }
-WireHandover& WireHandover::operator=(WireHandover&& other67) noexcept {
-  hello = std::move(other67.hello);
-  heartbeat = std::move(other67.heartbeat);
-  offer = std::move(other67.offer);
-  cancel = std::move(other67.cancel);
-  result = std::move(other67.result);
-  configuration_request = std::move(other67.configuration_request);
-  configuration = std::move(other67.configuration);
-  snapshot_request = std::move(other67.snapshot_request);
-  snapshot = std::move(other67.snapshot);
-  tenure = std::move(other67.tenure);
-  __isset = other67.__isset;
+WireHandover& WireHandover::operator=(WireHandover&& other75) noexcept {
+  hello = std::move(other75.hello);
+  heartbeat = std::move(other75.heartbeat);
+  offer = std::move(other75.offer);
+  cancel = std::move(other75.cancel);
+  result = std::move(other75.result);
+  configuration_request = std::move(other75.configuration_request);
+  configuration = std::move(other75.configuration);
+  snapshot_request = std::move(other75.snapshot_request);
+  snapshot = std::move(other75.snapshot);
+  tenure = std::move(other75.tenure);
+  cancel_request = std::move(other75.cancel_request);
+  cancel_reply = std::move(other75.cancel_reply);
+  __isset = other75.__isset;
   return *this;
 }
 void WireHandover::printTo(std::ostream& out) const {
@@ -2580,6 +2872,8 @@
   out << ", " << "snapshot_request="; (__isset.snapshot_request ? (out << to_string(snapshot_request)) : (out << "<null>"));
   out << ", " << "snapshot="; (__isset.snapshot ? (out << to_string(snapshot)) : (out << "<null>"));
   out << ", " << "tenure="; (__isset.tenure ? (out << to_string(tenure)) : (out << "<null>"));
+  out << ", " << "cancel_request="; (__isset.cancel_request ? (out << to_string(cancel_request)) : (out << "<null>"));
+  out << ", " << "cancel_reply="; (__isset.cancel_reply ? (out << to_string(cancel_reply)) : (out << "<null>"));
   out << ")";
 }
 
--- a/peers/handover/gen/handover_types.h
+++ b/peers/handover/gen/handover_types.h
@@ -47,6 +47,10 @@
 
 class WireTenure;
 
+class WireCancelRequest;
+
+class WireCancelReply;
+
 class WireHandover;
 
 typedef struct _WireInstance__isset {
@@ -911,8 +915,112 @@
 
 std::ostream& operator<<(std::ostream& out, const WireTenure& obj);
 
+typedef struct _WireCancelRequest__isset {
+  _WireCancelRequest__isset() : job(false), number(false) {}
+  bool job :1;
+  bool number :1;
+} _WireCancelRequest__isset;
+
+class WireCancelRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  WireCancelRequest(const WireCancelRequest&) noexcept;
+  WireCancelRequest(WireCancelRequest&&) noexcept;
+  WireCancelRequest& operator=(const WireCancelRequest&) noexcept;
+  WireCancelRequest& operator=(WireCancelRequest&&) noexcept;
+  WireCancelRequest() noexcept
+                    : job(0),
+                      number(0) {
+  }
+
+  virtual ~WireCancelRequest() noexcept;
+  int64_t job;
+  int64_t number;
+
+  _WireCancelRequest__isset __isset;
+
+  void __set_job(const int64_t val);
+
+  void __set_number(const int64_t val);
+
+  bool operator == (const WireCancelRequest & rhs) const
+  {
+    if (!(job == rhs.job))
+      return false;
+    if (!(number == rhs.number))
+      return false;
+    return true;
+  }
+  bool operator != (const WireCancelRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WireCancelRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WireCancelRequest &a, WireCancelRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const WireCancelRequest& obj);
+
+typedef struct _WireCancelReply__isset {
+  _WireCancelReply__isset() : number(false), found(false) {}
+  bool number :1;
+  bool found :1;
+} _WireCancelReply__isset;
+
+class WireCancelReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  WireCancelReply(const WireCancelReply&) noexcept;
+  WireCancelReply(WireCancelReply&&) noexcept;
+  WireCancelReply& operator=(const WireCancelReply&) noexcept;
+  WireCancelReply& operator=(WireCancelReply&&) noexcept;
+  WireCancelReply() noexcept
+                  : number(0),
+                    found(0) {
+  }
+
+  virtual ~WireCancelReply() noexcept;
+  int64_t number;
+  bool found;
+
+  _WireCancelReply__isset __isset;
+
+  void __set_number(const int64_t val);
+
+  void __set_found(const bool val);
+
+  bool operator == (const WireCancelReply & rhs) const
+  {
+    if (!(number == rhs.number))
+      return false;
+    if (!(found == rhs.found))
+      return false;
+    return true;
+  }
+  bool operator != (const WireCancelReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WireCancelReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WireCancelReply &a, WireCancelReply &b);
+
+std::ostream& operator<<(std::ostream& out, const WireCancelReply& obj);
+
 typedef struct _WireHandover__isset {
-  _WireHandover__isset() : hello(false), heartbeat(false), offer(false), cancel(false), result(false), configuration_request(false), configuration(false), snapshot_request(false), snapshot(false), tenure(false) {}
+  _WireHandover__isset() : hello(false), heartbeat(false), offer(false), cancel(false), result(false), configuration_request(false), configuration(false), snapshot_request(false), snapshot(false), tenure(false), cancel_request(false), cancel_reply(false) {}
   bool hello :1;
   bool heartbeat :1;
   bool offer :1;
@@ -923,6 +1031,8 @@
   bool snapshot_request :1;
   bool snapshot :1;
   bool tenure :1;
+  bool cancel_request :1;
+  bool cancel_reply :1;
 } _WireHandover__isset;
 
 class WireHandover : public virtual ::apache::thrift::TBase {
@@ -946,6 +1056,8 @@
   WireSnapshotRequest snapshot_request;
   WireSnapshot snapshot;
   WireTenure tenure;
+  WireCancelRequest cancel_request;
+  WireCancelReply cancel_reply;
 
   _WireHandover__isset __isset;
 
@@ -969,6 +1081,10 @@
 
   void __set_tenure(const WireTenure& val);
 
+  void __set_cancel_request(const WireCancelRequest& val);
+
+  void __set_cancel_reply(const WireCancelReply& val);
+
   bool operator == (const WireHandover & rhs) const
   {
     if (__isset.hello != rhs.__isset.hello)
@@ -1011,6 +1127,14 @@
       return false;
     else if (__isset.tenure && !(tenure == rhs.tenure))
       return false;
+    if (__isset.cancel_request != rhs.__isset.cancel_request)
+      return false;
+    else if (__isset.cancel_request && !(cancel_request == rhs.cancel_request))
+      return false;
+    if (__isset.cancel_reply != rhs.__isset.cancel_reply)
+      return false;
+    else if (__isset.cancel_reply && !(cancel_reply == rhs.cancel_reply))
+      return false;
     return true;
   }
   bool operator != (const WireHandover &rhs) const {
--- a/peers/handover/handover.thrift
+++ b/peers/handover/handover.thrift
@@ -99,6 +99,17 @@
   3: WireInstance holder
 }
 
+# Tells the holder of groups that a caller cancelled a job, and asks for a confirmation.
+struct WireCancelRequest {
+  1: i64 job
+  2: i64 number
+}
+
+struct WireCancelReply {
+  1: i64 number
+  2: bool found
+}
+
 # The content of one frame. Exactly one field is set.
 struct WireHandover {
   1: optional WireHello hello
@@ -111,4 +122,6 @@
   8: optional WireSnapshotRequest snapshot_request
   9: optional WireSnapshot snapshot
   10: optional WireTenure tenure
+  11: optional WireCancelRequest cancel_request
+  12: optional WireCancelReply cancel_reply
 }
--- a/peers/handover/handover_codec.cc
+++ b/peers/handover/handover_codec.cc
@@ -194,6 +194,20 @@
   out.__set_tenure(announcement);
 }
 
+auto EncodeBody(const CancelRequest& it, wire::WireHandover& out) -> void {
+  wire::WireCancelRequest request;
+  request.job = static_cast<int64_t>(it.job.value);
+  request.number = static_cast<int64_t>(it.number);
+  out.__set_cancel_request(request);
+}
+
+auto EncodeBody(const CancelReply& it, wire::WireHandover& out) -> void {
+  wire::WireCancelReply reply;
+  reply.number = static_cast<int64_t>(it.number);
+  reply.found = it.found;
+  out.__set_cancel_reply(reply);
+}
+
 auto DecodeHeartbeat(const wire::WireHeartbeat& in)
     -> std::optional<HandoverMessage> {
   HeartbeatMessage out;
@@ -238,7 +252,7 @@
 auto DecodeResult(const wire::WireResult& in)
     -> std::optional<HandoverMessage> {
   if (in.submission < 0 || in.outcome < 0 ||
-      in.outcome > static_cast<int8_t>(JobOutcome::kStopped)) {
+      in.outcome > static_cast<int8_t>(JobOutcome::kCancelled)) {
     return std::nullopt;
   }
   ResultMessage out;
@@ -312,6 +326,15 @@
   if (in.__isset.tenure) {
     return DecodeHolderAnnouncement(in.tenure);
   }
+  if (in.__isset.cancel_request) {
+    return CancelRequest{
+        .job = JobName{static_cast<uint64_t>(in.cancel_request.job)},
+        .number = static_cast<uint64_t>(in.cancel_request.number)};
+  }
+  if (in.__isset.cancel_reply) {
+    return CancelReply{.number = static_cast<uint64_t>(in.cancel_reply.number),
+                       .found = in.cancel_reply.found};
+  }
   return std::nullopt;
 }
 
--- a/peers/handover/handover_messages.h
+++ b/peers/handover/handover_messages.h
@@ -46,6 +46,18 @@
   JobName job;
 };
 
+// Tells the holder of groups that a caller cancelled a job. The holder replies
+// when it no longer starts tasks of the job.
+struct CancelRequest {
+  JobName job;
+  uint64_t number = 0;  // copied to the reply
+};
+
+struct CancelReply {
+  uint64_t number = 0;
+  bool found = false;  // set when the holder had the job
+};
+
 // Reports the outcome of a job to its origin instance.
 struct ResultMessage {
   JobResult result;
@@ -98,7 +110,9 @@
                                      RoutesTransfer,
                                      SnapshotRequest,
                                      SnapshotTransfer,
-                                     HolderAnnouncement>;
+                                     HolderAnnouncement,
+                                     CancelRequest,
+                                     CancelReply>;
 
 }  // namespace boragecroft
 
--- a/servers/intake/intake.cc
+++ b/servers/intake/intake.cc
@@ -149,7 +149,8 @@
                          const JobResult& result,
                          IntakeCommands& out) -> void {
   const auto ended = result.outcome == JobOutcome::kDone ||
-                     result.outcome == JobOutcome::kFailed;
+                     result.outcome == JobOutcome::kFailed ||
+                     result.outcome == JobOutcome::kCancelled;
   if (!ended) {
     return;
   }
@@ -211,6 +212,19 @@
   state.jobs.erase(it);
 }
 
+auto OnCancelledByCaller(Intake& state, JobName job, IntakeCommands& out)
+    -> bool {
+  const auto it = state.jobs.find(job);
+  if (it == state.jobs.end()) {
+    return false;
+  }
+  if (!it->second.group.empty()) {
+    out.push_back(WithdrawJob{.group = it->second.group, .job = job});
+  }
+  Answer(state, job, JobOutcome::kCancelled, milliseconds{0}, out);
+  return true;
+}
+
 auto OnResult(Intake& state,
               const std::string& group,
               uint64_t token,
--- a/servers/intake/intake.h
+++ b/servers/intake/intake.h
@@ -71,6 +71,9 @@
 // Handles the loss of the caller's connection.
 auto OnCallerDisconnected(Intake& state, JobName job, IntakeCommands& out)
     -> void;
+// Handles that a caller cancelled the job. Returns whether it was here.
+auto OnCancelledByCaller(Intake& state, JobName job, IntakeCommands& out)
+    -> bool;
 auto OnResult(Intake& state,
               const std::string& group,
               uint64_t token,
--- a/servers/scheduling/dispatching.cc
+++ b/servers/scheduling/dispatching.cc
@@ -103,6 +103,7 @@
       ++counters.jobs_refused;
       return;
     case JobOutcome::kStopped:
+    case JobOutcome::kCancelled:
       ++counters.jobs_stopped;
       return;
   }
--- a/servers/scheduling/job.h
+++ b/servers/scheduling/job.h
@@ -79,6 +79,9 @@
   kFailed = 1,   // a task failed as many times as its route allows
   kRefused = 2,  // nothing ran, and nothing will
   kStopped = 3,  // tasks may have run; they are being stopped
+  // A caller cancelled the job. Tasks that run are being stopped, and none will
+  // be started.
+  kCancelled = 4,
 };
 
 struct JobResult {
--- a/servers/scheduling/job_events.cc
+++ b/servers/scheduling/job_events.cc
@@ -148,6 +148,18 @@
   GiveUp(state, it->second, now, out);
 }
 
+auto OnCancelledByCaller(Scheduler& state,
+                         JobName job,
+                         Instant now,
+                         SchedulerCommands& out) -> bool {
+  const auto it = state.jobs.find(job);
+  if (it == state.jobs.end() || it->second.ended) {
+    return false;
+  }
+  detail::EndJob(state, it->second, JobOutcome::kCancelled, now, out);
+  return true;
+}
+
 auto OnOriginLost(Scheduler& state, OriginId origin, Instant lost_at) -> void {
   for (auto& [name, job] : state.jobs) {
     if (job.origin == origin && job.orphaned_at == Instant()) {
--- a/servers/scheduling/scheduler.h
+++ b/servers/scheduling/scheduler.h
@@ -208,6 +208,12 @@
               JobName job,
               Instant now,
               SchedulerCommands& out) -> void;
+// Handles that a caller cancelled the job, at any instance. Returns whether the
+// job is here and had not ended.
+auto OnCancelledByCaller(Scheduler& state,
+                         JobName job,
+                         Instant now,
+                         SchedulerCommands& out) -> bool;
 // Handles the loss of the connection to an origin instance at `lost_at`. Its
 // jobs are stopped unless they are handed over again within the grace period of
 // 200 ms from then.
--- a/tests/lab/platform_fleet.cc
+++ b/tests/lab/platform_fleet.cc
@@ -201,6 +201,15 @@
   return Exchange(instance.callers, std::move(request), seconds(6));
 }
 
+auto PlatformFleet::Cancel(const EntryProcess& instance, uint64_t name)
+    -> JsonReply {
+  HttpRequest request;
+  request.method = "DELETE";
+  request.target = "/reminders/" + platform::ToString(JobName{name});
+  request.headers.push_back({"Host", kHost});
+  return Exchange(instance.callers, std::move(request), seconds(6));
+}
+
 auto PlatformFleet::Control(const std::string& path,
                             const boost::json::object& body) -> void {
   Post(control_, path, body);
--- a/tests/lab/platform_fleet.h
+++ b/tests/lab/platform_fleet.h
@@ -70,6 +70,8 @@
               uint64_t name,
               int count,
               milliseconds deadline = seconds(5)) -> JsonReply;
+  // Cancels a job and waits for the answer.
+  auto Cancel(const EntryProcess& instance, uint64_t name) -> JsonReply;
   auto Control(const std::string& path, const boost::json::object& body)
       -> void;
   auto FetchRunStatistics() -> boost::json::object;
--- a/tests/peers/handover/handover_codec_test.cc
+++ b/tests/peers/handover/handover_codec_test.cc
@@ -43,6 +43,17 @@
   EXPECT_TRUE(read.offer.immediate_only);
 }
 
+TEST(HandoverCodecTest, CancelRequestAndReplySurviveRoundTrip) {
+  const auto request = std::get<CancelRequest>(
+      RoundTrip(CancelRequest{.job = JobName{1ULL << 63U}, .number = 7}));
+  EXPECT_EQ(request.job, JobName{1ULL << 63U});
+  EXPECT_EQ(request.number, 7U);
+  const auto reply =
+      std::get<CancelReply>(RoundTrip(CancelReply{.number = 7, .found = true}));
+  EXPECT_EQ(reply.number, 7U);
+  EXPECT_TRUE(reply.found);
+}
+
 TEST(HandoverCodecTest, HeartbeatCarriesGroupsOfSender) {
   HeartbeatMessage message;
   message.configuration_version = 9;
--- a/tests/servers/intake/intake_test.cc
+++ b/tests/servers/intake/intake_test.cc
@@ -59,6 +59,26 @@
   IntakeCommands out;
 };
 
+class JobCancelledByCaller : public IntakeFixture {};
+
+TEST_F(JobCancelledByCaller, IsWithdrawnFromItsHolderAndAnswered) {
+  Submit(1, 8);
+  out.clear();
+  EXPECT_TRUE(OnCancelledByCaller(state, JobName{1}, out));
+  ASSERT_EQ(out.size(), 2U);
+  EXPECT_EQ(std::get<WithdrawJob>(out[0]).group, "north");
+  EXPECT_EQ(std::get<AnswerJob>(out[1]).result.outcome, JobOutcome::kCancelled);
+  EXPECT_FALSE(OnCancelledByCaller(state, JobName{1}, out));
+}
+
+TEST_F(JobCancelledByCaller, IsNotOfferedAgainWhenItsHolderReportsIt) {
+  Submit(1, 8);
+  out.clear();
+  ReceiveResult("north", JobOutcome::kCancelled);
+  EXPECT_EQ(Take<AnswerJob>().at(0).result.outcome, JobOutcome::kCancelled);
+  EXPECT_TRUE(state.jobs.empty());
+}
+
 class NewJob : public IntakeFixture {};
 
 TEST_F(NewJob, GoesToOwnZoneWhileItHasCapacity) {
--- a/tests/servers/scheduling/orders_test.cc
+++ b/tests/servers/scheduling/orders_test.cc
@@ -145,6 +145,25 @@
   EXPECT_EQ(Take<StartCommand>().size(), 1);
 }
 
+class JobCancelledAtOtherInstance : public SchedulerFixture {};
+
+TEST_F(JobCancelledAtOtherInstance, IsStoppedAndReportedToItsOrigin) {
+  Begin({MakeEntry("w1", 32'000)});
+  Offer(MakeOffer(1, 5), 7);
+  for (const auto& it : Take<StartCommand>()) {
+    AnswerStart(it, OrderAnswer::kAccepted);
+  }
+  EXPECT_TRUE(OnCancelledByCaller(state, JobName{1}, now, out));
+  const auto results = Take<ResultCommand>();
+  ASSERT_EQ(results.size(), 1);
+  EXPECT_EQ(results[0].origin, 7);
+  EXPECT_EQ(results[0].result.outcome, JobOutcome::kCancelled);
+  EXPECT_EQ(Take<StopCommand>().size(), 2);
+  EXPECT_FALSE(OnCancelledByCaller(state, JobName{1}, now, out));
+  AdvanceTime(seconds(1));
+  EXPECT_TRUE(Take<StartCommand>().empty());
+}
+
 class FailingTask : public SchedulerFixture {};
 
 TEST_F(FailingTask, IsRetriedOnOtherWorkerUntilAttemptsAreExhausted) {
