Log cancelled jobs, and share the settings of the tests of one instance

Cause: reading the change anew. A cancellation left no log line, though every decision about a request has one, and two tests had the same set-up.

Change: job_cancelled, within the budget of lines about jobs, at each instance that had the job. Nothing else changes in behaviour.

--- a/main/entry/cancel_flow.cc
+++ b/main/entry/cancel_flow.cc
@@ -2,6 +2,7 @@
 
 #include <set>
 #include <utility>
+#include <vector>
 
 #include "core/log/log.h"
 #include "main/entry/entry_instance.h"
@@ -47,6 +48,9 @@
   ForEachHeldGroup(state, [&](Scheduler& scheduler, SchedulerCommands& out) {
     found = OnCancelledByCaller(scheduler, job, now, out) || found;
   });
+  if (found && MayLog(state.log_budget, now)) {
+    Log(LogLevel::kInfo, "job_cancelled", {{"job", platform::ToString(job)}});
+  }
   return found;
 }
 
--- a/tests/main/entry/peer_connections_test.cc
+++ b/tests/main/entry/peer_connections_test.cc
@@ -5,26 +5,11 @@
 #include <utility>
 
 #include "main/entry/entry_instance.h"
+#include "tests/main/entry/entry_settings.h"
 
 namespace boragecroft {
 namespace {
 
-auto Loopback(uint16_t port = 0) -> Address {
-  return Address{.ip = "127.0.0.1", .port = port};
-}
-
-auto MakeSettings() -> platform::Settings {
-  platform::Settings settings;
-  settings.instance = "north-1";
-  settings.zone = "north";
-  settings.zones = {"north"};
-  settings.callers = Loopback();
-  settings.readiness = Loopback();
-  settings.instances = Loopback();
-  settings.store = Loopback(1);  // refuses connections
-  return settings;
-}
-
 // An instance to which one process of a peer opens two connections, the second
 // one before this instance knows that the first one is lost.
 class ReconnectedPeer : public testing::Test {
@@ -62,7 +47,7 @@
   }
 
   boost::asio::io_context context;
-  EntryState state{context, MakeSettings(), 0};
+  EntryState state{context, MakeEntrySettings(), 0};
   std::unique_ptr<HandoverLink> first;
   std::unique_ptr<HandoverLink> second;
 };
--- a/tests/main/entry/suspension_test.cc
+++ b/tests/main/entry/suspension_test.cc
@@ -7,27 +7,11 @@
 #include <utility>
 
 #include "main/entry/entry_instance.h"
+#include "tests/main/entry/entry_settings.h"
 
 namespace boragecroft {
 namespace {
 
-// Returns a loopback address; the operating system chooses port 0.
-auto Loopback(uint16_t port = 0) -> Address {
-  return Address{.ip = "127.0.0.1", .port = port};
-}
-
-auto MakeSettings() -> platform::Settings {
-  platform::Settings settings;
-  settings.instance = "north-1";
-  settings.zone = "north";
-  settings.zones = {"north"};
-  settings.callers = Loopback();
-  settings.readiness = Loopback();
-  settings.instances = Loopback();
-  settings.store = Loopback(1);  // refuses connections
-  return settings;
-}
-
 // An instance that has just started and has one peer.
 class StartedInstance : public testing::Test {
  protected:
@@ -51,7 +35,7 @@
   }
 
   boost::asio::io_context context;
-  EntryState state{context, MakeSettings(), 0};
+  EntryState state{context, MakeEntrySettings(), 0};
   std::unique_ptr<HandoverLink> peer;
 };
 
