--- a/core/log/log.cc
+++ b/core/log/log.cc
@@ -67,7 +67,7 @@
 auto InitLog(LogLevel level, std::string instance) -> void {
   Setup() = LogSetup{.level = level, .instance = std::move(instance)};
   logging::add_console_log(
-      std::clog,
+      std::cout,
       logging::keywords::format = logging::expressions::stream
                                   << logging::expressions::smessage,
       logging::keywords::auto_flush = true);
--- a/core/log/log.h
+++ b/core/log/log.h
@@ -1,4 +1,4 @@
-// Structured logs: one JSON object per line on standard error, written with
+// Structured logs: one JSON object per line on standard output, written with
 // Boost.Log.
 #ifndef CORE_LOG_LOG_H_
 #define CORE_LOG_LOG_H_
