--- a/main/entry/entry_instance.cc
+++ b/main/entry/entry_instance.cc
@@ -10,6 +10,7 @@
 #include "main/entry/cancel_flow.h"
 #include "main/entry/group_flow.h"
 #include "main/entry/job_flow.h"
+#include "main/entry/peer_flow.h"
 #include "main/entry/store_flow.h"
 #include "main/entry/succession_flow.h"
 #include "main/entry/suspension.h"
@@ -108,6 +109,20 @@
   metrics.SetSize("jobs_passed_on", static_cast<double>(sum.jobs_redirected));
   metrics.SetSize("free_places", load.free_slots);
   metrics.SetSize("tasks_waiting", load.waiting);
+  size_t runs = 0;
+  size_t runs_in_evacuated_zones = 0;
+  for (const auto& [group, scheduler] : state.schedulers) {
+    const auto of_group = CountRuns(scheduler);
+    runs += of_group;
+    runs_in_evacuated_zones += scheduler.evacuated_since ? of_group : 0;
+  }
+  metrics.SetSize("runs_in_progress", static_cast<double>(runs));
+  metrics.SetSize("runs_in_evacuated_zones",
+                  static_cast<double>(runs_in_evacuated_zones));
+  const auto zones_evacuated = std::count_if(
+      state.succession.groups.begin(), state.succession.groups.end(),
+      [&](const auto& it) { return IsEvacuated(state.evacuations, it.first); });
+  metrics.SetSize("zones_evacuated", static_cast<double>(zones_evacuated));
 }
 
 auto ListenForMetrics(EntryState& state) -> Result<void, std::string> {
@@ -245,13 +260,7 @@
     scheduler.leaving = true;
   }
   // Lets the origin instances send further jobs to other groups.
-  HeartbeatMessage leaving{.configuration_version = state.routes.version,
-                           .groups = {},
-                           .reply = true};
-  for (const auto& [group, scheduler] : state.schedulers) {
-    leaving.groups.push_back(StatusOf(state, group));
-  }
-  state.link->Broadcast(leaving);
+  state.link->Broadcast(MakeHeartbeat(state, true));
 }
 
 auto ReloadEntry(EntryState& state) -> void {
--- a/main/entry/entry_state.h
+++ b/main/entry/entry_state.h
@@ -23,6 +23,7 @@
 #include "platform/worker_client.h"
 #include "servers/cancellation/cancellation.h"
 #include "servers/intake/intake.h"
+#include "servers/routing/evacuations.h"
 #include "servers/routing/routes.h"
 #include "servers/routing/routes_refresh.h"
 #include "servers/scheduling/scheduler.h"
@@ -62,6 +63,7 @@
   RouteTable routes;
   RoutesRefresh routes_refresh;
   std::string routes_document;  // as received from the store or a peer
+  Evacuations evacuations;
   std::map<std::string, WorkerEntry> directory;
   // When the row of each departed worker was removed from the store.
   std::map<std::string, Instant> departed_at;
--- a/main/entry/group_flow.cc
+++ b/main/entry/group_flow.cc
@@ -5,6 +5,7 @@
 
 #include "core/log/log.h"
 #include "main/entry/entry_instance.h"
+#include "main/entry/evacuation_flow.h"
 #include "main/entry/job_flow.h"
 #include "main/entry/succession_flow.h"
 #include "main/entry/suspension.h"
@@ -70,6 +71,9 @@
              const std::string& group,
              const ResultCommand& command) -> void {
   LogJobEnd(state, group, command);
+  if (command.withheld) {
+    state.metrics.CountEvent("start_withheld");
+  }
   if (command.origin == 0) {
     const auto token = state.succession.groups[group].holder->token;
     IntakeCommands commands;
@@ -185,6 +189,7 @@
   const auto now = BootClock::now();
   const auto stable =
       !workers.empty() && now - state.group_changed_at[group] >= kStableAfter;
+  ApplyEvacuationToTerm(state, group, commands);
   BeginTerm(state.schedulers[group], token * kTokensPerTerm, workers, stable,
             now, commands);
   RunSchedulerCommands(state, group, commands);
--- a/main/entry/job_flow.cc
+++ b/main/entry/job_flow.cc
@@ -5,6 +5,7 @@
 #include "core/log/log.h"
 #include "main/entry/cancel_flow.h"
 #include "main/entry/entry_instance.h"
+#include "main/entry/evacuation_flow.h"
 #include "main/entry/group_flow.h"
 #include "main/entry/suspension.h"
 #include "platform/ingress.h"
@@ -127,6 +128,9 @@
 }
 
 auto Execute(EntryState& state, const HandOver& command) -> void {
+  if (command.sent_elsewhere) {
+    state.metrics.CountEvent("job_sent_elsewhere");
+  }
   if (state.schedulers.contains(command.group)) {
     SchedulerCommands commands;
     OnOffer(state.schedulers.at(command.group), 0, command.offer,
@@ -172,7 +176,9 @@
   const auto elapsed = BootClock::now() - caller.arrived;
   state.metrics.CountAnswer(command.result.outcome, elapsed);
   LogAnswer(state, command.result, command.group, elapsed);
-  caller.respond(platform::EncodeResult(command.result));
+  caller.respond(command.all_evacuated
+                     ? platform::EncodeAllEvacuated(command.result.retry_after)
+                     : platform::EncodeResult(command.result));
 }
 
 // Cancels the jobs at the former holder of a group when the group has another
@@ -250,6 +256,9 @@
 
 auto RefreshGroupView(EntryState& state, const std::string& group) -> void {
   const auto& term = state.succession.groups[group];
+  if (!state.evacuations.zones.empty()) {
+    RefreshEvacuatedGroups(state);
+  }
   GroupView view;
   if (term.holder) {
     view.token = term.holder->token;
--- a/main/entry/peer_flow.cc
+++ b/main/entry/peer_flow.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "main/entry/cancel_flow.h"
+#include "main/entry/evacuation_flow.h"
 #include "main/entry/group_flow.h"
 #include "main/entry/job_flow.h"
 #include "main/entry/store_flow.h"
@@ -61,6 +62,11 @@
     -> void {}
 
 auto Handle(EntryState& state, LinkId link, HeartbeatMessage& message) -> void {
+  // First, so that neither the groups of this message nor later offers on the
+  // connection are handled without the evacuations that the peer knows.
+  for (const auto& it : message.evacuations) {
+    OnEvacuationRecord(state, it, EvacuationSource::kPeer);
+  }
   auto& peer = state.peers.at(link);
   if (ShouldRequestRoutes(state.routes_refresh, state.routes.version,
                           message.configuration_version, BootClock::now())) {
@@ -185,6 +191,7 @@
   HeartbeatMessage out;
   out.configuration_version = state.routes.version;
   out.reply = reply;
+  out.evacuations = ListEvacuations(state.evacuations);
   if (reply) {
     for (const auto& [group, scheduler] : state.schedulers) {
       out.groups.push_back(StatusOf(state, group));
--- a/main/entry/store_flow.cc
+++ b/main/entry/store_flow.cc
@@ -4,10 +4,12 @@
 
 #include "core/log/log.h"
 #include "main/entry/entry_instance.h"
+#include "main/entry/evacuation_flow.h"
 #include "main/entry/group_flow.h"
 #include "main/entry/succession_flow.h"
 #include "main/entry/suspension.h"
 #include "platform/configuration.h"
+#include "platform/evacuation_rows.h"
 #include "platform/group_rows.h"
 #include "platform/tables.h"
 
@@ -36,6 +38,10 @@
 }
 
 auto OnOperatorRow(EntryState& state, const platform::StoreRow& row) -> void {
+  if (const auto evacuation = platform::DecodeEvacuation(row)) {
+    OnEvacuationRow(state, row, *evacuation, EvacuationSource::kStore);
+    return;
+  }
   if (row.key != platform::kConfigurationKey || row.deleted) {
     return;
   }
@@ -106,15 +112,22 @@
       state.context, *state.store, table, pause, std::move(callbacks));
 }
 
-auto AddRows(SnapshotTransfer& out,
-             const std::string& table,
-             const platform::TableFollower& follower) -> void {
-  for (auto& it : follower.Rows()) {
-    out.rows.push_back(SnapshotRow{.table = table,
-                                   .part = "",
-                                   .key = it.key,
-                                   .value = it.value.value_or(""),
-                                   .version = it.version});
+auto ToSnapshotRow(const platform::StoreRow& row) -> SnapshotRow {
+  return SnapshotRow{.table = row.table,
+                     .part = "",
+                     .key = row.key,
+                     .value = row.value.value_or(""),
+                     .version = row.version};
+}
+
+// Adds the known evacuations. The records are newer than the rows when a peer
+// reported a change that the store has not.
+auto AddEvacuations(SnapshotTransfer& out, const Evacuations& evacuations)
+    -> void {
+  for (const auto& it : ListEvacuations(evacuations)) {
+    if (it.active) {
+      out.rows.push_back(ToSnapshotRow(platform::EncodeEvacuation(it)));
+    }
   }
 }
 
@@ -125,9 +138,13 @@
                                                         state.settings.store);
   const auto ignore_version = [](uint64_t /*version*/) {};
   const auto ignore_time = [](Instant /*known_until*/) {};
-  state.operator_rows =
-      MakeFollower(state, platform::kOperatorTable, kNoFeedPause, OnOperatorRow,
-                   ignore_version, ignore_time);
+  state.operator_rows = MakeFollower(
+      state, platform::kOperatorTable, kNoFeedPause, OnOperatorRow,
+      [&state](uint64_t version) {
+        OnOperatorRowsRead(state, version);
+        ArmDueTimer(state);
+      },
+      ignore_time);
   state.worker_rows = MakeFollower(
       state, platform::kWorkerTable, kWorkerFeedPause, OnWorkerRow,
       ignore_version,
@@ -189,8 +206,15 @@
 
 auto MakeSnapshot(const EntryState& state) -> SnapshotTransfer {
   SnapshotTransfer out;
-  AddRows(out, platform::kOperatorTable, *state.operator_rows);
-  AddRows(out, platform::kGroupTable, *state.group_rows);
+  for (const auto& it : state.operator_rows->Rows()) {
+    if (!platform::DecodeEvacuation(it)) {
+      out.rows.push_back(ToSnapshotRow(it));
+    }
+  }
+  AddEvacuations(out, state.evacuations);
+  for (const auto& it : state.group_rows->Rows()) {
+    out.rows.push_back(ToSnapshotRow(it));
+  }
   return out;
 }
 
@@ -206,7 +230,11 @@
                                  .key = it.key,
                                  .value = it.value,
                                  .version = it.version};
-    if (it.table == platform::kOperatorTable) {
+    const auto evacuation = platform::DecodeEvacuation(row);
+    if (it.table == platform::kOperatorTable && evacuation) {
+      // Not through the follower, which holds only what the store reported.
+      OnEvacuationRow(state, row, *evacuation, EvacuationSource::kSnapshot);
+    } else if (it.table == platform::kOperatorTable) {
       state.operator_rows->ApplyFromPeer(row);
     } else if (it.table == platform::kGroupTable) {
       state.group_rows->ApplyFromPeer(row);
--- a/peers/handover/gen/handover_types.cpp
+++ b/peers/handover/gen/handover_types.cpp
@@ -559,6 +559,151 @@
 }
 
 
+WireEvacuation::~WireEvacuation() noexcept {
+}
+
+
+void WireEvacuation::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void WireEvacuation::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void WireEvacuation::__set_active(const bool val) {
+  this->active = val;
+}
+std::ostream& operator<<(std::ostream& out, const WireEvacuation& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WireEvacuation::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->active);
+          this->__isset.active = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t WireEvacuation::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WireEvacuation");
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("active", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->active);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WireEvacuation &a, WireEvacuation &b) {
+  using ::std::swap;
+  swap(a.zone, b.zone);
+  swap(a.version, b.version);
+  swap(a.active, b.active);
+  swap(a.__isset, b.__isset);
+}
+
+WireEvacuation::WireEvacuation(const WireEvacuation& other12) {
+  zone = other12.zone;
+  version = other12.version;
+  active = other12.active;
+  __isset = other12.__isset;
+}
+WireEvacuation::WireEvacuation(WireEvacuation&& other13) noexcept {
+  zone = std::move(other13.zone);
+  version = other13.version;
+  active = other13.active;
+  __isset = other13.__isset;
+}
+WireEvacuation& WireEvacuation::operator=(const WireEvacuation& other14) {
+  zone = other14.zone;
+  version = other14.version;
+  active = other14.active;
+  __isset = other14.__isset;
+  return *this;
+}
+WireEvacuation& WireEvacuation::operator=(WireEvacuation&& other15) noexcept {
+  zone = std::move(other15.zone);
+  version = other15.version;
+  active = other15.active;
+  __isset = other15.__isset;
+  return *this;
+}
+void WireEvacuation::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WireEvacuation(";
+  out << "zone=" << to_string(zone);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "active=" << to_string(active);
+  out << ")";
+}
+
+
 WireHeartbeat::~WireHeartbeat() noexcept {
 }
 
@@ -574,6 +719,11 @@
 void WireHeartbeat::__set_reply(const bool val) {
   this->reply = val;
 }
+
+void WireHeartbeat::__set_evacuations(const std::vector<WireEvacuation> & val) {
+  this->evacuations = val;
+__isset.evacuations = true;
+}
 std::ostream& operator<<(std::ostream& out, const WireHeartbeat& obj)
 {
   obj.printTo(out);
@@ -614,14 +764,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->groups.clear();
-            uint32_t _size12;
-            ::apache::thrift::protocol::TType _etype15;
-            xfer += iprot->readListBegin(_etype15, _size12);
-            this->groups.resize(_size12);
-            uint32_t _i16;
-            for (_i16 = 0; _i16 < _size12; ++_i16)
+            uint32_t _size16;
+            ::apache::thrift::protocol::TType _etype19;
+            xfer += iprot->readListBegin(_etype19, _size16);
+            this->groups.resize(_size16);
+            uint32_t _i20;
+            for (_i20 = 0; _i20 < _size16; ++_i20)
             {
-              xfer += this->groups[_i16].read(iprot);
+              xfer += this->groups[_i20].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -638,6 +788,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->evacuations.clear();
+            uint32_t _size21;
+            ::apache::thrift::protocol::TType _etype24;
+            xfer += iprot->readListBegin(_etype24, _size21);
+            this->evacuations.resize(_size21);
+            uint32_t _i25;
+            for (_i25 = 0; _i25 < _size21; ++_i25)
+            {
+              xfer += this->evacuations[_i25].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.evacuations = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -662,10 +832,10 @@
   xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
-    std::vector<WireGroupStatus> ::const_iterator _iter17;
-    for (_iter17 = this->groups.begin(); _iter17 != this->groups.end(); ++_iter17)
+    std::vector<WireGroupStatus> ::const_iterator _iter26;
+    for (_iter26 = this->groups.begin(); _iter26 != this->groups.end(); ++_iter26)
     {
-      xfer += (*_iter17).write(oprot);
+      xfer += (*_iter26).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -675,6 +845,19 @@
   xfer += oprot->writeBool(this->reply);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.evacuations) {
+    xfer += oprot->writeFieldBegin("evacuations", ::apache::thrift::protocol::T_LIST, 4);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->evacuations.size()));
+      std::vector<WireEvacuation> ::const_iterator _iter27;
+      for (_iter27 = this->evacuations.begin(); _iter27 != this->evacuations.end(); ++_iter27)
+      {
+        xfer += (*_iter27).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -685,33 +868,38 @@
   swap(a.configuration_version, b.configuration_version);
   swap(a.groups, b.groups);
   swap(a.reply, b.reply);
+  swap(a.evacuations, b.evacuations);
   swap(a.__isset, b.__isset);
 }
 
-WireHeartbeat::WireHeartbeat(const WireHeartbeat& other18) {
-  configuration_version = other18.configuration_version;
-  groups = other18.groups;
-  reply = other18.reply;
-  __isset = other18.__isset;
+WireHeartbeat::WireHeartbeat(const WireHeartbeat& other28) {
+  configuration_version = other28.configuration_version;
+  groups = other28.groups;
+  reply = other28.reply;
+  evacuations = other28.evacuations;
+  __isset = other28.__isset;
 }
-WireHeartbeat::WireHeartbeat(WireHeartbeat&& other19) noexcept {
-  configuration_version = other19.configuration_version;
-  groups = std::move(other19.groups);
-  reply = other19.reply;
-  __isset = other19.__isset;
+WireHeartbeat::WireHeartbeat(WireHeartbeat&& other29) noexcept {
+  configuration_version = other29.configuration_version;
+  groups = std::move(other29.groups);
+  reply = other29.reply;
+  evacuations = std::move(other29.evacuations);
+  __isset = other29.__isset;
 }
-WireHeartbeat& WireHeartbeat::operator=(const WireHeartbeat& other20) {
-  configuration_version = other20.configuration_version;
-  groups = other20.groups;
-  reply = other20.reply;
-  __isset = other20.__isset;
+WireHeartbeat& WireHeartbeat::operator=(const WireHeartbeat& other30) {
+  configuration_version = other30.configuration_version;
+  groups = other30.groups;
+  reply = other30.reply;
+  evacuations = other30.evacuations;
+  __isset = other30.__isset;
   return *this;
 }
-WireHeartbeat& WireHeartbeat::operator=(WireHeartbeat&& other21) noexcept {
-  configuration_version = other21.configuration_version;
-  groups = std::move(other21.groups);
-  reply = other21.reply;
-  __isset = other21.__isset;
+WireHeartbeat& WireHeartbeat::operator=(WireHeartbeat&& other31) noexcept {
+  configuration_version = other31.configuration_version;
+  groups = std::move(other31.groups);
+  reply = other31.reply;
+  evacuations = std::move(other31.evacuations);
+  __isset = other31.__isset;
   return *this;
 }
 void WireHeartbeat::printTo(std::ostream& out) const {
@@ -720,6 +908,7 @@
   out << "configuration_version=" << to_string(configuration_version);
   out << ", " << "groups=" << to_string(groups);
   out << ", " << "reply=" << to_string(reply);
+  out << ", " << "evacuations="; (__isset.evacuations ? (out << to_string(evacuations)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1088,90 +1277,90 @@
   swap(a.__isset, b.__isset);
 }
 
-WireOffer::WireOffer(const WireOffer& other22) {
-  job = other22.job;
-  spec = other22.spec;
-  kind = other22.kind;
-  service_name = other22.service_name;
-  count = other22.count;
-  cpu_millis = other22.cpu_millis;
-  memory_mb = other22.memory_mb;
-  accelerators = other22.accelerators;
-  run_estimate_ms = other22.run_estimate_ms;
-  target_ms = other22.target_ms;
-  slack_factor = other22.slack_factor;
-  max_attempts = other22.max_attempts;
-  age_ms = other22.age_ms;
-  remaining_ms = other22.remaining_ms;
-  submission = other22.submission;
-  may_run_elsewhere = other22.may_run_elsewhere;
-  group = other22.group;
-  at_once = other22.at_once;
-  __isset = other22.__isset;
-}
-WireOffer::WireOffer(WireOffer&& other23) noexcept {
-  job = other23.job;
-  spec = std::move(other23.spec);
-  kind = std::move(other23.kind);
-  service_name = std::move(other23.service_name);
-  count = other23.count;
-  cpu_millis = other23.cpu_millis;
-  memory_mb = other23.memory_mb;
-  accelerators = other23.accelerators;
-  run_estimate_ms = other23.run_estimate_ms;
-  target_ms = other23.target_ms;
-  slack_factor = other23.slack_factor;
-  max_attempts = other23.max_attempts;
-  age_ms = other23.age_ms;
-  remaining_ms = other23.remaining_ms;
-  submission = other23.submission;
-  may_run_elsewhere = other23.may_run_elsewhere;
-  group = std::move(other23.group);
-  at_once = other23.at_once;
-  __isset = other23.__isset;
-}
-WireOffer& WireOffer::operator=(const WireOffer& other24) {
-  job = other24.job;
-  spec = other24.spec;
-  kind = other24.kind;
-  service_name = other24.service_name;
-  count = other24.count;
-  cpu_millis = other24.cpu_millis;
-  memory_mb = other24.memory_mb;
-  accelerators = other24.accelerators;
-  run_estimate_ms = other24.run_estimate_ms;
-  target_ms = other24.target_ms;
-  slack_factor = other24.slack_factor;
-  max_attempts = other24.max_attempts;
-  age_ms = other24.age_ms;
-  remaining_ms = other24.remaining_ms;
-  submission = other24.submission;
-  may_run_elsewhere = other24.may_run_elsewhere;
-  group = other24.group;
-  at_once = other24.at_once;
-  __isset = other24.__isset;
+WireOffer::WireOffer(const WireOffer& other32) {
+  job = other32.job;
+  spec = other32.spec;
+  kind = other32.kind;
+  service_name = other32.service_name;
+  count = other32.count;
+  cpu_millis = other32.cpu_millis;
+  memory_mb = other32.memory_mb;
+  accelerators = other32.accelerators;
+  run_estimate_ms = other32.run_estimate_ms;
+  target_ms = other32.target_ms;
+  slack_factor = other32.slack_factor;
+  max_attempts = other32.max_attempts;
+  age_ms = other32.age_ms;
+  remaining_ms = other32.remaining_ms;
+  submission = other32.submission;
+  may_run_elsewhere = other32.may_run_elsewhere;
+  group = other32.group;
+  at_once = other32.at_once;
+  __isset = other32.__isset;
+}
+WireOffer::WireOffer(WireOffer&& other33) noexcept {
+  job = other33.job;
+  spec = std::move(other33.spec);
+  kind = std::move(other33.kind);
+  service_name = std::move(other33.service_name);
+  count = other33.count;
+  cpu_millis = other33.cpu_millis;
+  memory_mb = other33.memory_mb;
+  accelerators = other33.accelerators;
+  run_estimate_ms = other33.run_estimate_ms;
+  target_ms = other33.target_ms;
+  slack_factor = other33.slack_factor;
+  max_attempts = other33.max_attempts;
+  age_ms = other33.age_ms;
+  remaining_ms = other33.remaining_ms;
+  submission = other33.submission;
+  may_run_elsewhere = other33.may_run_elsewhere;
+  group = std::move(other33.group);
+  at_once = other33.at_once;
+  __isset = other33.__isset;
+}
+WireOffer& WireOffer::operator=(const WireOffer& other34) {
+  job = other34.job;
+  spec = other34.spec;
+  kind = other34.kind;
+  service_name = other34.service_name;
+  count = other34.count;
+  cpu_millis = other34.cpu_millis;
+  memory_mb = other34.memory_mb;
+  accelerators = other34.accelerators;
+  run_estimate_ms = other34.run_estimate_ms;
+  target_ms = other34.target_ms;
+  slack_factor = other34.slack_factor;
+  max_attempts = other34.max_attempts;
+  age_ms = other34.age_ms;
+  remaining_ms = other34.remaining_ms;
+  submission = other34.submission;
+  may_run_elsewhere = other34.may_run_elsewhere;
+  group = other34.group;
+  at_once = other34.at_once;
+  __isset = other34.__isset;
   return *this;
 }
-WireOffer& WireOffer::operator=(WireOffer&& other25) noexcept {
-  job = other25.job;
-  spec = std::move(other25.spec);
-  kind = std::move(other25.kind);
-  service_name = std::move(other25.service_name);
-  count = other25.count;
-  cpu_millis = other25.cpu_millis;
-  memory_mb = other25.memory_mb;
-  accelerators = other25.accelerators;
-  run_estimate_ms = other25.run_estimate_ms;
-  target_ms = other25.target_ms;
-  slack_factor = other25.slack_factor;
-  max_attempts = other25.max_attempts;
-  age_ms = other25.age_ms;
-  remaining_ms = other25.remaining_ms;
-  submission = other25.submission;
-  may_run_elsewhere = other25.may_run_elsewhere;
-  group = std::move(other25.group);
-  at_once = other25.at_once;
-  __isset = other25.__isset;
+WireOffer& WireOffer::operator=(WireOffer&& other35) noexcept {
+  job = other35.job;
+  spec = std::move(other35.spec);
+  kind = std::move(other35.kind);
+  service_name = std::move(other35.service_name);
+  count = other35.count;
+  cpu_millis = other35.cpu_millis;
+  memory_mb = other35.memory_mb;
+  accelerators = other35.accelerators;
+  run_estimate_ms = other35.run_estimate_ms;
+  target_ms = other35.target_ms;
+  slack_factor = other35.slack_factor;
+  max_attempts = other35.max_attempts;
+  age_ms = other35.age_ms;
+  remaining_ms = other35.remaining_ms;
+  submission = other35.submission;
+  may_run_elsewhere = other35.may_run_elsewhere;
+  group = std::move(other35.group);
+  at_once = other35.at_once;
+  __isset = other35.__isset;
   return *this;
 }
 void WireOffer::printTo(std::ostream& out) const {
@@ -1291,26 +1480,26 @@
   swap(a.__isset, b.__isset);
 }
 
-WireCancel::WireCancel(const WireCancel& other26) {
-  job = other26.job;
-  group = other26.group;
-  __isset = other26.__isset;
+WireCancel::WireCancel(const WireCancel& other36) {
+  job = other36.job;
+  group = other36.group;
+  __isset = other36.__isset;
 }
-WireCancel::WireCancel(WireCancel&& other27) noexcept {
-  job = other27.job;
-  group = std::move(other27.group);
-  __isset = other27.__isset;
+WireCancel::WireCancel(WireCancel&& other37) noexcept {
+  job = other37.job;
+  group = std::move(other37.group);
+  __isset = other37.__isset;
 }
-WireCancel& WireCancel::operator=(const WireCancel& other28) {
-  job = other28.job;
-  group = other28.group;
-  __isset = other28.__isset;
+WireCancel& WireCancel::operator=(const WireCancel& other38) {
+  job = other38.job;
+  group = other38.group;
+  __isset = other38.__isset;
   return *this;
 }
-WireCancel& WireCancel::operator=(WireCancel&& other29) noexcept {
-  job = other29.job;
-  group = std::move(other29.group);
-  __isset = other29.__isset;
+WireCancel& WireCancel::operator=(WireCancel&& other39) noexcept {
+  job = other39.job;
+  group = std::move(other39.group);
+  __isset = other39.__isset;
   return *this;
 }
 void WireCancel::printTo(std::ostream& out) const {
@@ -1345,6 +1534,11 @@
 void WireResult::__set_submission(const int32_t val) {
   this->submission = val;
 }
+
+void WireResult::__set_evacuated(const bool val) {
+  this->evacuated = val;
+__isset.evacuated = true;
+}
 std::ostream& operator<<(std::ostream& out, const WireResult& obj)
 {
   obj.printTo(out);
@@ -1413,6 +1607,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->evacuated);
+          this->__isset.evacuated = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1450,6 +1652,11 @@
   xfer += oprot->writeI32(this->submission);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.evacuated) {
+    xfer += oprot->writeFieldBegin("evacuated", ::apache::thrift::protocol::T_BOOL, 6);
+    xfer += oprot->writeBool(this->evacuated);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1462,41 +1669,46 @@
   swap(a.retry_after_ms, b.retry_after_ms);
   swap(a.status, b.status);
   swap(a.submission, b.submission);
+  swap(a.evacuated, b.evacuated);
   swap(a.__isset, b.__isset);
 }
 
-WireResult::WireResult(const WireResult& other30) {
-  job = other30.job;
-  outcome = other30.outcome;
-  retry_after_ms = other30.retry_after_ms;
-  status = other30.status;
-  submission = other30.submission;
-  __isset = other30.__isset;
+WireResult::WireResult(const WireResult& other40) {
+  job = other40.job;
+  outcome = other40.outcome;
+  retry_after_ms = other40.retry_after_ms;
+  status = other40.status;
+  submission = other40.submission;
+  evacuated = other40.evacuated;
+  __isset = other40.__isset;
 }
-WireResult::WireResult(WireResult&& other31) noexcept {
-  job = other31.job;
-  outcome = other31.outcome;
-  retry_after_ms = other31.retry_after_ms;
-  status = std::move(other31.status);
-  submission = other31.submission;
-  __isset = other31.__isset;
+WireResult::WireResult(WireResult&& other41) noexcept {
+  job = other41.job;
+  outcome = other41.outcome;
+  retry_after_ms = other41.retry_after_ms;
+  status = std::move(other41.status);
+  submission = other41.submission;
+  evacuated = other41.evacuated;
+  __isset = other41.__isset;
 }
-WireResult& WireResult::operator=(const WireResult& other32) {
-  job = other32.job;
-  outcome = other32.outcome;
-  retry_after_ms = other32.retry_after_ms;
-  status = other32.status;
-  submission = other32.submission;
-  __isset = other32.__isset;
+WireResult& WireResult::operator=(const WireResult& other42) {
+  job = other42.job;
+  outcome = other42.outcome;
+  retry_after_ms = other42.retry_after_ms;
+  status = other42.status;
+  submission = other42.submission;
+  evacuated = other42.evacuated;
+  __isset = other42.__isset;
   return *this;
 }
-WireResult& WireResult::operator=(WireResult&& other33) noexcept {
-  job = other33.job;
-  outcome = other33.outcome;
-  retry_after_ms = other33.retry_after_ms;
-  status = std::move(other33.status);
-  submission = other33.submission;
-  __isset = other33.__isset;
+WireResult& WireResult::operator=(WireResult&& other43) noexcept {
+  job = other43.job;
+  outcome = other43.outcome;
+  retry_after_ms = other43.retry_after_ms;
+  status = std::move(other43.status);
+  submission = other43.submission;
+  evacuated = other43.evacuated;
+  __isset = other43.__isset;
   return *this;
 }
 void WireResult::printTo(std::ostream& out) const {
@@ -1507,6 +1719,7 @@
   out << ", " << "retry_after_ms=" << to_string(retry_after_ms);
   out << ", " << "status=" << to_string(status);
   out << ", " << "submission=" << to_string(submission);
+  out << ", " << "evacuated="; (__isset.evacuated ? (out << to_string(evacuated)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1586,22 +1799,22 @@
   swap(a.__isset, b.__isset);
 }
 
-WireConfigurationRequest::WireConfigurationRequest(const WireConfigurationRequest& other34) noexcept {
-  known_version = other34.known_version;
-  __isset = other34.__isset;
+WireConfigurationRequest::WireConfigurationRequest(const WireConfigurationRequest& other44) noexcept {
+  known_version = other44.known_version;
+  __isset = other44.__isset;
 }
-WireConfigurationRequest::WireConfigurationRequest(WireConfigurationRequest&& other35) noexcept {
-  known_version = other35.known_version;
-  __isset = other35.__isset;
+WireConfigurationRequest::WireConfigurationRequest(WireConfigurationRequest&& other45) noexcept {
+  known_version = other45.known_version;
+  __isset = other45.__isset;
 }
-WireConfigurationRequest& WireConfigurationRequest::operator=(const WireConfigurationRequest& other36) noexcept {
-  known_version = other36.known_version;
-  __isset = other36.__isset;
+WireConfigurationRequest& WireConfigurationRequest::operator=(const WireConfigurationRequest& other46) noexcept {
+  known_version = other46.known_version;
+  __isset = other46.__isset;
   return *this;
 }
-WireConfigurationRequest& WireConfigurationRequest::operator=(WireConfigurationRequest&& other37) noexcept {
-  known_version = other37.known_version;
-  __isset = other37.__isset;
+WireConfigurationRequest& WireConfigurationRequest::operator=(WireConfigurationRequest&& other47) noexcept {
+  known_version = other47.known_version;
+  __isset = other47.__isset;
   return *this;
 }
 void WireConfigurationRequest::printTo(std::ostream& out) const {
@@ -1704,26 +1917,26 @@
   swap(a.__isset, b.__isset);
 }
 
-WireConfiguration::WireConfiguration(const WireConfiguration& other38) {
-  version = other38.version;
-  document = other38.document;
-  __isset = other38.__isset;
+WireConfiguration::WireConfiguration(const WireConfiguration& other48) {
+  version = other48.version;
+  document = other48.document;
+  __isset = other48.__isset;
 }
-WireConfiguration::WireConfiguration(WireConfiguration&& other39) noexcept {
-  version = other39.version;
-  document = std::move(other39.document);
-  __isset = other39.__isset;
+WireConfiguration::WireConfiguration(WireConfiguration&& other49) noexcept {
+  version = other49.version;
+  document = std::move(other49.document);
+  __isset = other49.__isset;
 }
-WireConfiguration& WireConfiguration::operator=(const WireConfiguration& other40) {
-  version = other40.version;
-  document = other40.document;
-  __isset = other40.__isset;
+WireConfiguration& WireConfiguration::operator=(const WireConfiguration& other50) {
+  version = other50.version;
+  document = other50.document;
+  __isset = other50.__isset;
   return *this;
 }
-WireConfiguration& WireConfiguration::operator=(WireConfiguration&& other41) noexcept {
-  version = other41.version;
-  document = std::move(other41.document);
-  __isset = other41.__isset;
+WireConfiguration& WireConfiguration::operator=(WireConfiguration&& other51) noexcept {
+  version = other51.version;
+  document = std::move(other51.document);
+  __isset = other51.__isset;
   return *this;
 }
 void WireConfiguration::printTo(std::ostream& out) const {
@@ -1789,18 +2002,18 @@
   (void) b;
 }
 
-WireSnapshotRequest::WireSnapshotRequest(const WireSnapshotRequest& other42) noexcept {
-  (void) other42;
+WireSnapshotRequest::WireSnapshotRequest(const WireSnapshotRequest& other52) noexcept {
+  (void) other52;
 }
-WireSnapshotRequest::WireSnapshotRequest(WireSnapshotRequest&& other43) noexcept {
-  (void) other43;
+WireSnapshotRequest::WireSnapshotRequest(WireSnapshotRequest&& other53) noexcept {
+  (void) other53;
 }
-WireSnapshotRequest& WireSnapshotRequest::operator=(const WireSnapshotRequest& other44) noexcept {
-  (void) other44;
+WireSnapshotRequest& WireSnapshotRequest::operator=(const WireSnapshotRequest& other54) noexcept {
+  (void) other54;
   return *this;
 }
-WireSnapshotRequest& WireSnapshotRequest::operator=(WireSnapshotRequest&& other45) noexcept {
-  (void) other45;
+WireSnapshotRequest& WireSnapshotRequest::operator=(WireSnapshotRequest&& other55) noexcept {
+  (void) other55;
   return *this;
 }
 void WireSnapshotRequest::printTo(std::ostream& out) const {
@@ -1953,38 +2166,38 @@
   swap(a.__isset, b.__isset);
 }
 
-WireRow::WireRow(const WireRow& other46) {
-  table_name = other46.table_name;
-  part = other46.part;
-  key = other46.key;
-  value = other46.value;
-  version = other46.version;
-  __isset = other46.__isset;
+WireRow::WireRow(const WireRow& other56) {
+  table_name = other56.table_name;
+  part = other56.part;
+  key = other56.key;
+  value = other56.value;
+  version = other56.version;
+  __isset = other56.__isset;
 }
-WireRow::WireRow(WireRow&& other47) noexcept {
-  table_name = std::move(other47.table_name);
-  part = std::move(other47.part);
-  key = std::move(other47.key);
-  value = std::move(other47.value);
-  version = other47.version;
-  __isset = other47.__isset;
+WireRow::WireRow(WireRow&& other57) noexcept {
+  table_name = std::move(other57.table_name);
+  part = std::move(other57.part);
+  key = std::move(other57.key);
+  value = std::move(other57.value);
+  version = other57.version;
+  __isset = other57.__isset;
 }
-WireRow& WireRow::operator=(const WireRow& other48) {
-  table_name = other48.table_name;
-  part = other48.part;
-  key = other48.key;
-  value = other48.value;
-  version = other48.version;
-  __isset = other48.__isset;
+WireRow& WireRow::operator=(const WireRow& other58) {
+  table_name = other58.table_name;
+  part = other58.part;
+  key = other58.key;
+  value = other58.value;
+  version = other58.version;
+  __isset = other58.__isset;
   return *this;
 }
-WireRow& WireRow::operator=(WireRow&& other49) noexcept {
-  table_name = std::move(other49.table_name);
-  part = std::move(other49.part);
-  key = std::move(other49.key);
-  value = std::move(other49.value);
-  version = other49.version;
-  __isset = other49.__isset;
+WireRow& WireRow::operator=(WireRow&& other59) noexcept {
+  table_name = std::move(other59.table_name);
+  part = std::move(other59.part);
+  key = std::move(other59.key);
+  value = std::move(other59.value);
+  version = other59.version;
+  __isset = other59.__isset;
   return *this;
 }
 void WireRow::printTo(std::ostream& out) const {
@@ -2038,14 +2251,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size50;
-            ::apache::thrift::protocol::TType _etype53;
-            xfer += iprot->readListBegin(_etype53, _size50);
-            this->rows.resize(_size50);
-            uint32_t _i54;
-            for (_i54 = 0; _i54 < _size50; ++_i54)
+            uint32_t _size60;
+            ::apache::thrift::protocol::TType _etype63;
+            xfer += iprot->readListBegin(_etype63, _size60);
+            this->rows.resize(_size60);
+            uint32_t _i64;
+            for (_i64 = 0; _i64 < _size60; ++_i64)
             {
-              xfer += this->rows[_i54].read(iprot);
+              xfer += this->rows[_i64].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2074,10 +2287,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<WireRow> ::const_iterator _iter55;
-    for (_iter55 = this->rows.begin(); _iter55 != this->rows.end(); ++_iter55)
+    std::vector<WireRow> ::const_iterator _iter65;
+    for (_iter65 = this->rows.begin(); _iter65 != this->rows.end(); ++_iter65)
     {
-      xfer += (*_iter55).write(oprot);
+      xfer += (*_iter65).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2094,22 +2307,22 @@
   swap(a.__isset, b.__isset);
 }
 
-WireSnapshot::WireSnapshot(const WireSnapshot& other56) {
-  rows = other56.rows;
-  __isset = other56.__isset;
+WireSnapshot::WireSnapshot(const WireSnapshot& other66) {
+  rows = other66.rows;
+  __isset = other66.__isset;
 }
-WireSnapshot::WireSnapshot(WireSnapshot&& other57) noexcept {
-  rows = std::move(other57.rows);
-  __isset = other57.__isset;
+WireSnapshot::WireSnapshot(WireSnapshot&& other67) noexcept {
+  rows = std::move(other67.rows);
+  __isset = other67.__isset;
 }
-WireSnapshot& WireSnapshot::operator=(const WireSnapshot& other58) {
-  rows = other58.rows;
-  __isset = other58.__isset;
+WireSnapshot& WireSnapshot::operator=(const WireSnapshot& other68) {
+  rows = other68.rows;
+  __isset = other68.__isset;
   return *this;
 }
-WireSnapshot& WireSnapshot::operator=(WireSnapshot&& other59) noexcept {
-  rows = std::move(other59.rows);
-  __isset = other59.__isset;
+WireSnapshot& WireSnapshot::operator=(WireSnapshot&& other69) noexcept {
+  rows = std::move(other69.rows);
+  __isset = other69.__isset;
   return *this;
 }
 void WireSnapshot::printTo(std::ostream& out) const {
@@ -2229,30 +2442,30 @@
   swap(a.__isset, b.__isset);
 }
 
-WireTenure::WireTenure(const WireTenure& other60) {
-  group = other60.group;
-  token = other60.token;
-  holder = other60.holder;
-  __isset = other60.__isset;
+WireTenure::WireTenure(const WireTenure& other70) {
+  group = other70.group;
+  token = other70.token;
+  holder = other70.holder;
+  __isset = other70.__isset;
 }
-WireTenure::WireTenure(WireTenure&& other61) noexcept {
-  group = std::move(other61.group);
-  token = other61.token;
-  holder = std::move(other61.holder);
-  __isset = other61.__isset;
+WireTenure::WireTenure(WireTenure&& other71) noexcept {
+  group = std::move(other71.group);
+  token = other71.token;
+  holder = std::move(other71.holder);
+  __isset = other71.__isset;
 }
-WireTenure& WireTenure::operator=(const WireTenure& other62) {
-  group = other62.group;
-  token = other62.token;
-  holder = other62.holder;
-  __isset = other62.__isset;
+WireTenure& WireTenure::operator=(const WireTenure& other72) {
+  group = other72.group;
+  token = other72.token;
+  holder = other72.holder;
+  __isset = other72.__isset;
   return *this;
 }
-WireTenure& WireTenure::operator=(WireTenure&& other63) noexcept {
-  group = std::move(other63.group);
-  token = other63.token;
-  holder = std::move(other63.holder);
-  __isset = other63.__isset;
+WireTenure& WireTenure::operator=(WireTenure&& other73) noexcept {
+  group = std::move(other73.group);
+  token = other73.token;
+  holder = std::move(other73.holder);
+  __isset = other73.__isset;
   return *this;
 }
 void WireTenure::printTo(std::ostream& out) const {
@@ -2357,26 +2570,26 @@
   swap(a.__isset, b.__isset);
 }
 
-WireCancelRequest::WireCancelRequest(const WireCancelRequest& other64) noexcept {
-  job = other64.job;
-  number = other64.number;
-  __isset = other64.__isset;
+WireCancelRequest::WireCancelRequest(const WireCancelRequest& other74) noexcept {
+  job = other74.job;
+  number = other74.number;
+  __isset = other74.__isset;
 }
-WireCancelRequest::WireCancelRequest(WireCancelRequest&& other65) noexcept {
-  job = other65.job;
-  number = other65.number;
-  __isset = other65.__isset;
+WireCancelRequest::WireCancelRequest(WireCancelRequest&& other75) noexcept {
+  job = other75.job;
+  number = other75.number;
+  __isset = other75.__isset;
 }
-WireCancelRequest& WireCancelRequest::operator=(const WireCancelRequest& other66) noexcept {
-  job = other66.job;
-  number = other66.number;
-  __isset = other66.__isset;
+WireCancelRequest& WireCancelRequest::operator=(const WireCancelRequest& other76) noexcept {
+  job = other76.job;
+  number = other76.number;
+  __isset = other76.__isset;
   return *this;
 }
-WireCancelRequest& WireCancelRequest::operator=(WireCancelRequest&& other67) noexcept {
-  job = other67.job;
-  number = other67.number;
-  __isset = other67.__isset;
+WireCancelRequest& WireCancelRequest::operator=(WireCancelRequest&& other77) noexcept {
+  job = other77.job;
+  number = other77.number;
+  __isset = other77.__isset;
   return *this;
 }
 void WireCancelRequest::printTo(std::ostream& out) const {
@@ -2480,26 +2693,26 @@
   swap(a.__isset, b.__isset);
 }
 
-WireCancelReply::WireCancelReply(const WireCancelReply& other68) noexcept {
-  number = other68.number;
-  found = other68.found;
-  __isset = other68.__isset;
+WireCancelReply::WireCancelReply(const WireCancelReply& other78) noexcept {
+  number = other78.number;
+  found = other78.found;
+  __isset = other78.__isset;
 }
-WireCancelReply::WireCancelReply(WireCancelReply&& other69) noexcept {
-  number = other69.number;
-  found = other69.found;
-  __isset = other69.__isset;
+WireCancelReply::WireCancelReply(WireCancelReply&& other79) noexcept {
+  number = other79.number;
+  found = other79.found;
+  __isset = other79.__isset;
 }
-WireCancelReply& WireCancelReply::operator=(const WireCancelReply& other70) noexcept {
-  number = other70.number;
-  found = other70.found;
-  __isset = other70.__isset;
+WireCancelReply& WireCancelReply::operator=(const WireCancelReply& other80) noexcept {
+  number = other80.number;
+  found = other80.found;
+  __isset = other80.__isset;
   return *this;
 }
-WireCancelReply& WireCancelReply::operator=(WireCancelReply&& other71) noexcept {
-  number = other71.number;
-  found = other71.found;
-  __isset = other71.__isset;
+WireCancelReply& WireCancelReply::operator=(WireCancelReply&& other81) noexcept {
+  number = other81.number;
+  found = other81.found;
+  __isset = other81.__isset;
   return *this;
 }
 void WireCancelReply::printTo(std::ostream& out) const {
@@ -2797,66 +3010,66 @@
   swap(a.__isset, b.__isset);
 }
 
-WireHandover::WireHandover(const WireHandover& other72) {
-  hello = other72.hello;
-  heartbeat = other72.heartbeat;
-  offer = other72.offer;
-  cancel = other72.cancel;
-  result = other72.result;
-  configuration_request = other72.configuration_request;
-  configuration = other72.configuration;
-  snapshot_request = other72.snapshot_request;
-  snapshot = other72.snapshot;
-  tenure = other72.tenure;
-  cancel_request = other72.cancel_request;
-  cancel_reply = other72.cancel_reply;
-  __isset = other72.__isset;
-}
-WireHandover::WireHandover(WireHandover&& other73) noexcept {
-  hello = std::move(other73.hello);
-  heartbeat = std::move(other73.heartbeat);
-  offer = std::move(other73.offer);
-  cancel = std::move(other73.cancel);
-  result = std::move(other73.result);
-  configuration_request = std::move(other73.configuration_request);
-  configuration = std::move(other73.configuration);
-  snapshot_request = std::move(other73.snapshot_request);
-  snapshot = std::move(other73.snapshot);
-  tenure = std::move(other73.tenure);
-  cancel_request = std::move(other73.cancel_request);
-  cancel_reply = std::move(other73.cancel_reply);
-  __isset = other73.__isset;
-}
-WireHandover& WireHandover::operator=(const WireHandover& other74) {
-  hello = other74.hello;
-  heartbeat = other74.heartbeat;
-  offer = other74.offer;
-  cancel = other74.cancel;
-  result = other74.result;
-  configuration_request = other74.configuration_request;
-  configuration = other74.configuration;
-  snapshot_request = other74.snapshot_request;
-  snapshot = other74.snapshot;
-  tenure = other74.tenure;
-  cancel_request = other74.cancel_request;
-  cancel_reply = other74.cancel_reply;
-  __isset = other74.__isset;
+WireHandover::WireHandover(const WireHandover& other82) {
+  hello = other82.hello;
+  heartbeat = other82.heartbeat;
+  offer = other82.offer;
+  cancel = other82.cancel;
+  result = other82.result;
+  configuration_request = other82.configuration_request;
+  configuration = other82.configuration;
+  snapshot_request = other82.snapshot_request;
+  snapshot = other82.snapshot;
+  tenure = other82.tenure;
+  cancel_request = other82.cancel_request;
+  cancel_reply = other82.cancel_reply;
+  __isset = other82.__isset;
+}
+WireHandover::WireHandover(WireHandover&& other83) noexcept {
+  hello = std::move(other83.hello);
+  heartbeat = std::move(other83.heartbeat);
+  offer = std::move(other83.offer);
+  cancel = std::move(other83.cancel);
+  result = std::move(other83.result);
+  configuration_request = std::move(other83.configuration_request);
+  configuration = std::move(other83.configuration);
+  snapshot_request = std::move(other83.snapshot_request);
+  snapshot = std::move(other83.snapshot);
+  tenure = std::move(other83.tenure);
+  cancel_request = std::move(other83.cancel_request);
+  cancel_reply = std::move(other83.cancel_reply);
+  __isset = other83.__isset;
+}
+WireHandover& WireHandover::operator=(const WireHandover& other84) {
+  hello = other84.hello;
+  heartbeat = other84.heartbeat;
+  offer = other84.offer;
+  cancel = other84.cancel;
+  result = other84.result;
+  configuration_request = other84.configuration_request;
+  configuration = other84.configuration;
+  snapshot_request = other84.snapshot_request;
+  snapshot = other84.snapshot;
+  tenure = other84.tenure;
+  cancel_request = other84.cancel_request;
+  cancel_reply = other84.cancel_reply;
+  __isset = other84.__isset;
   return *this;
 }
-WireHandover& WireHandover::operator=(WireHandover&& other75) noexcept {
-  hello = std::move(other75.hello);
-  heartbeat = std::move(other75.heartbeat);
-  offer = std::move(other75.offer);
-  cancel = std::move(other75.cancel);
-  result = std::move(other75.result);
-  configuration_request = std::move(other75.configuration_request);
-  configuration = std::move(other75.configuration);
-  snapshot_request = std::move(other75.snapshot_request);
-  snapshot = std::move(other75.snapshot);
-  tenure = std::move(other75.tenure);
-  cancel_request = std::move(other75.cancel_request);
-  cancel_reply = std::move(other75.cancel_reply);
-  __isset = other75.__isset;
+WireHandover& WireHandover::operator=(WireHandover&& other85) noexcept {
+  hello = std::move(other85.hello);
+  heartbeat = std::move(other85.heartbeat);
+  offer = std::move(other85.offer);
+  cancel = std::move(other85.cancel);
+  result = std::move(other85.result);
+  configuration_request = std::move(other85.configuration_request);
+  configuration = std::move(other85.configuration);
+  snapshot_request = std::move(other85.snapshot_request);
+  snapshot = std::move(other85.snapshot);
+  tenure = std::move(other85.tenure);
+  cancel_request = std::move(other85.cancel_request);
+  cancel_reply = std::move(other85.cancel_reply);
+  __isset = other85.__isset;
   return *this;
 }
 void WireHandover::printTo(std::ostream& out) const {
--- a/peers/handover/gen/handover_types.h
+++ b/peers/handover/gen/handover_types.h
@@ -27,6 +27,8 @@
 
 class WireGroupStatus;
 
+class WireEvacuation;
+
 class WireHeartbeat;
 
 class WireOffer;
@@ -264,11 +266,71 @@
 
 std::ostream& operator<<(std::ostream& out, const WireGroupStatus& obj);
 
+typedef struct _WireEvacuation__isset {
+  _WireEvacuation__isset() : zone(false), version(false), active(false) {}
+  bool zone :1;
+  bool version :1;
+  bool active :1;
+} _WireEvacuation__isset;
+
+class WireEvacuation : public virtual ::apache::thrift::TBase {
+ public:
+
+  WireEvacuation(const WireEvacuation&);
+  WireEvacuation(WireEvacuation&&) noexcept;
+  WireEvacuation& operator=(const WireEvacuation&);
+  WireEvacuation& operator=(WireEvacuation&&) noexcept;
+  WireEvacuation() noexcept
+                 : zone(),
+                   version(0),
+                   active(0) {
+  }
+
+  virtual ~WireEvacuation() noexcept;
+  std::string zone;
+  int64_t version;
+  bool active;
+
+  _WireEvacuation__isset __isset;
+
+  void __set_zone(const std::string& val);
+
+  void __set_version(const int64_t val);
+
+  void __set_active(const bool val);
+
+  bool operator == (const WireEvacuation & rhs) const
+  {
+    if (!(zone == rhs.zone))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(active == rhs.active))
+      return false;
+    return true;
+  }
+  bool operator != (const WireEvacuation &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WireEvacuation & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WireEvacuation &a, WireEvacuation &b);
+
+std::ostream& operator<<(std::ostream& out, const WireEvacuation& obj);
+
 typedef struct _WireHeartbeat__isset {
-  _WireHeartbeat__isset() : configuration_version(false), groups(false), reply(false) {}
+  _WireHeartbeat__isset() : configuration_version(false), groups(false), reply(false), evacuations(false) {}
   bool configuration_version :1;
   bool groups :1;
   bool reply :1;
+  bool evacuations :1;
 } _WireHeartbeat__isset;
 
 class WireHeartbeat : public virtual ::apache::thrift::TBase {
@@ -287,6 +349,7 @@
   int64_t configuration_version;
   std::vector<WireGroupStatus>  groups;
   bool reply;
+  std::vector<WireEvacuation>  evacuations;
 
   _WireHeartbeat__isset __isset;
 
@@ -296,6 +359,8 @@
 
   void __set_reply(const bool val);
 
+  void __set_evacuations(const std::vector<WireEvacuation> & val);
+
   bool operator == (const WireHeartbeat & rhs) const
   {
     if (!(configuration_version == rhs.configuration_version))
@@ -304,6 +369,10 @@
       return false;
     if (!(reply == rhs.reply))
       return false;
+    if (__isset.evacuations != rhs.__isset.evacuations)
+      return false;
+    else if (__isset.evacuations && !(evacuations == rhs.evacuations))
+      return false;
     return true;
   }
   bool operator != (const WireHeartbeat &rhs) const {
@@ -539,12 +608,13 @@
 std::ostream& operator<<(std::ostream& out, const WireCancel& obj);
 
 typedef struct _WireResult__isset {
-  _WireResult__isset() : job(false), outcome(false), retry_after_ms(false), status(false), submission(false) {}
+  _WireResult__isset() : job(false), outcome(false), retry_after_ms(false), status(false), submission(false), evacuated(false) {}
   bool job :1;
   bool outcome :1;
   bool retry_after_ms :1;
   bool status :1;
   bool submission :1;
+  bool evacuated :1;
 } _WireResult__isset;
 
 class WireResult : public virtual ::apache::thrift::TBase {
@@ -558,7 +628,8 @@
              : job(0),
                outcome(0),
                retry_after_ms(0),
-               submission(0) {
+               submission(0),
+               evacuated(0) {
   }
 
   virtual ~WireResult() noexcept;
@@ -567,6 +638,7 @@
   int64_t retry_after_ms;
   WireGroupStatus status;
   int32_t submission;
+  bool evacuated;
 
   _WireResult__isset __isset;
 
@@ -580,6 +652,8 @@
 
   void __set_submission(const int32_t val);
 
+  void __set_evacuated(const bool val);
+
   bool operator == (const WireResult & rhs) const
   {
     if (!(job == rhs.job))
@@ -592,6 +666,10 @@
       return false;
     if (!(submission == rhs.submission))
       return false;
+    if (__isset.evacuated != rhs.__isset.evacuated)
+      return false;
+    else if (__isset.evacuated && !(evacuated == rhs.evacuated))
+      return false;
     return true;
   }
   bool operator != (const WireResult &rhs) const {
--- a/peers/handover/handover.thrift
+++ b/peers/handover/handover.thrift
@@ -26,11 +26,20 @@
   8: i32 fast_places
 }
 
-# Sent by both sides while a connection is open. The heartbeat of a group holder lists the groups that it holds.
+# The state of one availability zone as of a version of the store.
+struct WireEvacuation {
+  1: string zone
+  2: i64 version
+  3: bool active
+}
+
+# Sent by both sides while a connection is open. The heartbeat of a group holder lists the groups that it holds. The
+# evacuations are absent when the sender knows none.
 struct WireHeartbeat {
   1: i64 configuration_version
   2: list<WireGroupStatus> groups
   3: bool reply
+  4: optional list<WireEvacuation> evacuations
 }
 
 struct WireOffer {
@@ -65,6 +74,8 @@
   3: i64 retry_after_ms
   4: WireGroupStatus status
   5: i32 submission
+  # Present when a job was given back because its group is evacuated.
+  6: optional bool evacuated
 }
 
 struct WireConfigurationRequest {
--- a/peers/handover/handover_codec.cc
+++ b/peers/handover/handover_codec.cc
@@ -96,6 +96,23 @@
   return out;
 }
 
+auto ToWire(const Evacuation& it) -> wire::WireEvacuation {
+  wire::WireEvacuation out;
+  out.zone = it.zone;
+  out.version = static_cast<int64_t>(it.version);
+  out.active = it.active;
+  return out;
+}
+
+auto FromWire(const wire::WireEvacuation& in) -> std::optional<Evacuation> {
+  if (in.zone.empty() || in.version <= 0) {
+    return std::nullopt;
+  }
+  return Evacuation{.zone = in.zone,
+                    .version = static_cast<uint64_t>(in.version),
+                    .active = in.active};
+}
+
 auto EncodeBody(const HelloMessage& it, wire::WireHandover& out) -> void {
   wire::WireHello hello;
   hello.sender = ToWire(it.sender);
@@ -110,6 +127,15 @@
     heartbeat.groups.push_back(ToWire(group));
   }
   heartbeat.reply = it.reply;
+  // Without evacuations the field is absent, and the message is as earlier
+  // versions send it.
+  if (!it.evacuations.empty()) {
+    std::vector<wire::WireEvacuation> evacuations;
+    for (const auto& record : it.evacuations) {
+      evacuations.push_back(ToWire(record));
+    }
+    heartbeat.__set_evacuations(evacuations);
+  }
   out.__set_heartbeat(heartbeat);
 }
 
@@ -151,6 +177,9 @@
   result.retry_after_ms = it.result.retry_after.count();
   result.submission = static_cast<int32_t>(it.result.submission);
   result.status = ToWire(it.status);
+  if (it.result.evacuated) {
+    result.__set_evacuated(true);
+  }
   out.__set_result(result);
 }
 
@@ -219,6 +248,13 @@
     out.groups.push_back(FromWire(it));
   }
   out.reply = in.reply;
+  for (const auto& it : in.evacuations) {
+    const auto record = FromWire(it);
+    if (!record) {
+      return std::nullopt;
+    }
+    out.evacuations.push_back(*record);
+  }
   return out;
 }
 
@@ -260,6 +296,7 @@
   out.result.outcome = static_cast<JobOutcome>(in.outcome);
   out.result.retry_after = milliseconds(in.retry_after_ms);
   out.result.submission = static_cast<uint32_t>(in.submission);
+  out.result.evacuated = in.__isset.evacuated && in.evacuated;
   out.status = FromWire(in.status);
   return out;
 }
--- a/peers/handover/handover_messages.h
+++ b/peers/handover/handover_messages.h
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "servers/routing/evacuations.h"
 #include "servers/scheduling/scheduler.h"
 #include "servers/succession/succession.h"
 
@@ -32,6 +33,7 @@
   uint64_t configuration_version = 0;
   std::vector<GroupStatus> groups;  // the groups that the sender holds
   bool reply = false;
+  std::vector<Evacuation> evacuations;  // all that the sender knows
 };
 
 // Hands a job over to the holder of a group.
--- a/servers/intake/intake.cc
+++ b/servers/intake/intake.cc
@@ -10,6 +10,9 @@
 // takes less while the store is reachable.
 constexpr milliseconds kHolderWaitTimeout{150};
 constexpr milliseconds kRetryAfter{1000};
+// Advice when all zones are evacuated: their return takes an operator, and rows
+// take up to 3 s to reach every instance.
+constexpr milliseconds kRetryAfterAllEvacuated{5000};
 constexpr milliseconds kLongTaskRunTime{500};
 // Number of groups that are asked for an immediate start before the job waits
 // at one of them. Each request costs a hop of about 1 ms, and the shortest
@@ -42,6 +45,14 @@
          static_cast<int64_t>(offer.count);
 }
 
+// Reports whether the group must not get the job because it is evacuated.
+auto IsEvacuatedFor(const Intake& state,
+                    const AcceptedJob& job,
+                    const std::string& group) -> bool {
+  return state.evacuated.groups.contains(group) ||
+         job.given_back_by.contains(group);
+}
+
 // Returns the group to hand the job to; empty when none is open. The group of
 // the own zone is preferred while it has enough free slots, otherwise the group
 // with the most free slots is chosen.
@@ -51,7 +62,8 @@
   std::string best;
   int64_t best_margin = 0;
   for (const auto& [group, view] : state.groups) {
-    if (!IsOpen(view) || excluded.contains(group)) {
+    if (!IsOpen(view) || excluded.contains(group) ||
+        IsEvacuatedFor(state, job, group)) {
       continue;
     }
     const auto margin = FreeSlotMargin(view, job.offer);
@@ -94,7 +106,14 @@
   auto& view = state.groups[group];
   job.group = group;
   job.token = view.token;
-  out.push_back(HandOver{.group = group, .offer = OfferAt(job, now)});
+  job.last_token = view.token;
+  const auto elsewhere =
+      !job.given_back_by.empty() ||
+      (group != state.zone && state.evacuated.groups.contains(state.zone));
+  out.push_back(HandOver{.group = group,
+                         .offer = OfferAt(job, now),
+                         .sent_elsewhere = elsewhere && !job.sent_elsewhere});
+  job.sent_elsewhere = job.sent_elsewhere || elsewhere;
   // Until the holder's next report, the tasks that were just handed over are
   // counted as started.
   const auto placed = std::min(view.load.free_slots, job.offer.count);
@@ -139,6 +158,39 @@
   state.jobs.erase(it);
 }
 
+auto RefuseAllEvacuated(Intake& state, JobName name, IntakeCommands& out)
+    -> void {
+  Answer(state, name, JobOutcome::kRefused, kRetryAfterAllEvacuated, out);
+  std::get<AnswerJob>(out.back()).all_evacuated = true;
+}
+
+// Offers a job that no holder has to the next group. When none is open, the job
+// waits for a holder; when all groups are evacuated, it is refused.
+auto PlaceUnheldJob(Intake& state,
+                    JobName name,
+                    Instant now,
+                    IntakeCommands& out) -> void {
+  if (state.evacuated.all) {
+    RefuseAllEvacuated(state, name, out);
+    return;
+  }
+  OfferToNextGroup(state, state.jobs.at(name), now, out);
+}
+
+// Handles that the holder of an evacuated group gave the job back. That is no
+// sign of a full group, so that the job keeps all its tries elsewhere.
+auto HandleGivenBack(Intake& state,
+                     JobName name,
+                     Instant now,
+                     IntakeCommands& out) -> void {
+  auto& job = state.jobs.at(name);
+  job.given_back_by.insert(job.group);
+  job.group.clear();
+  job.token = 0;
+  job.offer.immediate_only = false;
+  PlaceUnheldJob(state, name, now, out);
+}
+
 // Handles a result that answers an earlier offer than the one that the holder
 // has now. This happens when a holder stops responding until the origins hand
 // their jobs over again, and then answers both offers. An earlier refusal or
@@ -196,8 +248,8 @@
   job.arrived = now;
   job.deadline = now + offer.remaining;
   job.offer = std::move(offer);
-  auto& accepted = state.jobs.emplace(name, std::move(job)).first->second;
-  OfferToNextGroup(state, accepted, now, out);
+  state.jobs.emplace(name, std::move(job));
+  PlaceUnheldJob(state, name, now, out);
 }
 
 auto OnCallerDisconnected(Intake& state, JobName job, IntakeCommands& out)
@@ -248,6 +300,10 @@
   // The refusal guarantees that nothing has run there, so another group may get
   // the job.
   job.offer.may_run_elsewhere = false;
+  if (result.evacuated) {
+    HandleGivenBack(state, result.name, now, out);
+    return;
+  }
   if (job.offer.immediate_only) {
     job.full_groups.insert(group);
     if (!OfferToNextGroup(state, job, now, out)) {
@@ -281,7 +337,8 @@
     if (GiveUpAt(job) <= now) {
       continue;
     }
-    const auto waits = job.group.empty() && IsOpen(view);
+    const auto waits =
+        job.group.empty() && IsOpen(view) && !IsEvacuatedFor(state, job, group);
     const auto lost = job.group == group && job.token != view.token;
     if (waits || lost) {
       moved.push_back(name);
@@ -291,12 +348,36 @@
     auto& job = state.jobs.at(name);
     if (job.group.empty()) {
       HandOverTo(state, job, group, now, out);
+    } else if (state.evacuated.groups.contains(group) &&
+               job.last_token != view.token) {
+      // A successor may not have learned of the evacuation, and would start the
+      // job. The runs of the lost holder end with their leases.
+      Answer(state, name, JobOutcome::kStopped, milliseconds{0}, out);
     } else {
       MoveToSuccessor(state, job, now, out);
     }
   }
 }
 
+auto OnEvacuatedGroups(Intake& state,
+                       EvacuatedGroups evacuated,
+                       Instant now,
+                       IntakeCommands& out) -> void {
+  if (evacuated == state.evacuated) {
+    return;
+  }
+  state.evacuated = std::move(evacuated);
+  std::vector<JobName> waiting;
+  for (const auto& [name, job] : state.jobs) {
+    if (job.group.empty() && GiveUpAt(job) > now) {
+      waiting.push_back(name);
+    }
+  }
+  for (const auto name : waiting) {
+    PlaceUnheldJob(state, name, now, out);
+  }
+}
+
 auto OnTime(Intake& state, Instant now, IntakeCommands& out) -> void {
   std::vector<JobName> due;
   for (const auto& [name, job] : state.jobs) {
--- a/servers/intake/intake.h
+++ b/servers/intake/intake.h
@@ -41,17 +41,36 @@
   std::set<std::string> refused_by;
   // Groups that could not start all its tasks immediately.
   std::set<std::string> full_groups;
+  // Groups that gave the job back because they are evacuated. This instance may
+  // not have learned of it yet.
+  std::set<std::string> given_back_by;
+  // Token of the last holder that the job was handed to; stays when the
+  // connection to it is lost.
+  uint64_t last_token = 0;
+  bool sent_elsewhere = false;  // an evacuated group was passed over for it
+};
+
+// The groups that operators have evacuated. They get no jobs.
+struct EvacuatedGroups {
+  std::set<std::string> groups;
+  bool all = false;  // set when no group of the deployment is left
+
+  auto operator==(const EvacuatedGroups&) const -> bool = default;
 };
 
 struct Intake {
   std::string zone;  // zone of this instance; its group is preferred
   std::map<std::string, GroupView> groups;
   std::unordered_map<JobName, AcceptedJob> jobs;
+  EvacuatedGroups evacuated;
 };
 
 struct HandOver {
   std::string group;
   JobOffer offer;
+  // Set the first time that the job goes to another group because its own one
+  // is evacuated.
+  bool sent_elsewhere = false;
 };
 struct WithdrawJob {
   std::string group;
@@ -60,6 +79,8 @@
 struct AnswerJob {
   JobResult result;
   std::string group;  // the last one that had the job; empty when none had
+  // Set with a refusal because all groups are evacuated.
+  bool all_evacuated = false;
 };
 using IntakeCommand = std::variant<HandOver, WithdrawJob, AnswerJob>;
 using IntakeCommands = std::vector<IntakeCommand>;
@@ -87,6 +108,13 @@
                  const GroupView& view,
                  Instant now,
                  IntakeCommands& out) -> void;
+// Handles a change of the groups that are evacuated. Jobs that wait for a
+// holder are offered to the groups that are left, or refused when there is
+// none. Jobs at the holder of an evacuated group stay there until it answers.
+auto OnEvacuatedGroups(Intake& state,
+                       EvacuatedGroups evacuated,
+                       Instant now,
+                       IntakeCommands& out) -> void;
 // Gives up the jobs that can't be answered in time any more.
 auto OnTime(Intake& state, Instant now, IntakeCommands& out) -> void;
 auto NextDue(const Intake& state) -> std::optional<Instant>;
--- a/servers/scheduling/dispatching.h
+++ b/servers/scheduling/dispatching.h
@@ -11,6 +11,8 @@
     -> OrderTarget;
 
 // Starts the waiting tasks that fit on a worker, in the order of the policy.
+// All starts go through this function. While the group is evacuated, it first
+// ends the jobs that may not start.
 auto StartWaitingTasks(Scheduler& state, Instant now, SchedulerCommands& out)
     -> void;
 // Sends a lease renewal unless one is in flight or none is needed.
@@ -56,6 +58,23 @@
 // no other job waits.
 auto CanStartAllTasks(Scheduler& state, const ScheduledJob& job, Instant now)
     -> bool;
+// Returns the result that asks the job's origin to offer it to another group.
+auto MakeRedirect(const ScheduledJob& job, Instant now) -> ResultCommand;
+// Answers for a job of an evacuated group that this holder did not start: gives
+// it back to its origin as not run, or as stopped when an earlier holder may
+// have started it.
+auto GiveBack(Scheduler& state,
+              const ScheduledJob& job,
+              Instant now,
+              SchedulerCommands& out) -> void;
+// Ends the jobs of an evacuated group that may not start the tasks that they
+// need.
+auto WithholdStarts(Scheduler& state, Instant now, SchedulerCommands& out)
+    -> void;
+// Returns when the job must have started all its tasks, if its group is
+// evacuated and tasks of it wait.
+auto GraceEndOf(const Scheduler& state, const ScheduledJob& job)
+    -> std::optional<Instant>;
 // Reports whether the job has ended and none of its runs is in progress.
 auto IsFinished(const ScheduledJob& job) -> bool;
 
--- a/servers/scheduling/job.h
+++ b/servers/scheduling/job.h
@@ -89,6 +89,9 @@
   JobOutcome outcome = JobOutcome::kRefused;
   milliseconds retry_after{};  // for a refusal: when capacity is expected
   uint32_t submission = 0;     // copied from the offer that it answers
+  // Set with a refusal when the job was given back because the group is
+  // evacuated: its origin offers it to other groups.
+  bool evacuated = false;
 };
 
 // Connection of the instance that handed a job over (its origin). 0 is the
--- a/servers/scheduling/job_events.cc
+++ b/servers/scheduling/job_events.cc
@@ -59,20 +59,6 @@
   return job.uncertain > 0 || job.offer.may_run_elsewhere;
 }
 
-auto MakeRedirect(const ScheduledJob& job, Instant now) -> ResultCommand {
-  const auto since_arrival = [&](Instant at) {
-    return std::chrono::duration_cast<milliseconds>(at - job.times.arrived);
-  };
-  return ResultCommand{.origin = job.origin,
-                       .result = {.name = job.offer.name,
-                                  .outcome = JobOutcome::kRefused,
-                                  .submission = job.offer.submission},
-                       .redirected = true,
-                       .tasks = job.offer.count,
-                       .age = since_arrival(now),
-                       .objective = since_arrival(job.times.objective)};
-}
-
 auto GiveUp(Scheduler& state,
             ScheduledJob& job,
             Instant now,
@@ -105,6 +91,11 @@
   }
   ++state.counters.jobs_offered;
   const auto ending = it != state.jobs.end();
+  if (state.evacuated_since && !ending && offer.count > 0) {
+    const auto job = MakeJob(state, origin, std::move(offer), now);
+    detail::GiveBack(state, job, now, out);
+    return;
+  }
   if (ending || state.leaving || offer.count == 0) {
     const auto outcome = ending || offer.may_run_elsewhere
                              ? JobOutcome::kStopped
@@ -123,7 +114,7 @@
       job.offer.immediate_only && !job.offer.may_run_elsewhere;
   if (immediate_only && !detail::CanStartAllTasks(state, job, now)) {
     ++state.counters.jobs_redirected;
-    out.push_back(MakeRedirect(job, now));
+    out.push_back(detail::MakeRedirect(job, now));
     return;
   }
   auto& accepted = state.jobs.emplace(name, std::move(job)).first->second;
@@ -200,6 +191,9 @@
   for (const auto& [name, job] : state.jobs) {
     if (!job.ended) {
       consider(GiveUpAt(job));
+      if (const auto at = detail::GraceEndOf(state, job)) {
+        consider(*at);
+      }
     }
   }
   for (const auto& [id, worker] : state.workers) {
@@ -220,8 +214,10 @@
   GroupLoad load;
   const auto slots = CountFreeSlots(state.workers, state.run_times,
                                     state.typical_service, state.typical_needs);
-  load.free_slots = slots.all;
-  load.fast_slots = slots.fast;
+  if (!state.evacuated_since) {
+    load.free_slots = slots.all;
+    load.fast_slots = slots.fast;
+  }
   for (const auto& [name, job] : state.jobs) {
     if (!job.ended) {
       ++load.jobs;
--- a/servers/scheduling/run_watch.cc
+++ b/servers/scheduling/run_watch.cc
@@ -82,6 +82,10 @@
     if (!overdue && !WillEndTooLate(job, run, expected)) {
       continue;
     }
+    // The task could not start anywhere else in this group.
+    if (state.evacuated_since) {
+      continue;
+    }
     if (PlaceTaskOf(state, job, worker.entry.id, now + kMoveTime) != nullptr) {
       StopRun(state, worker, run, out);
     }
--- a/servers/scheduling/scheduler.h
+++ b/servers/scheduling/scheduler.h
@@ -64,8 +64,12 @@
   OriginId origin = 0;
   JobResult result;
   // Set when the job was refused only because not all its tasks could start
-  // immediately: its origin asks the next group.
+  // immediately, or because the group is evacuated: its origin asks the next
+  // group.
   bool redirected = false;
+  // Set when the job ended because the group is evacuated: tasks that it needed
+  // did not start.
+  bool withheld = false;
   // Progress of the job, for the log.
   uint32_t tasks = 0;
   uint32_t done = 0;
@@ -153,6 +157,14 @@
   uint64_t token = 0;    // first fencing token of this term
   Instant since;         // start of this term
   bool leaving = false;  // set when the holder accepts no more jobs
+  // When this holder learned that its group is evacuated; empty while the group
+  // is not.
+  std::optional<Instant> evacuated_since;
+  // From then on, time for which jobs that have begun may still start tasks.
+  milliseconds started_job_grace{};
+  // Jobs that were given back to their origins in the present evacuation, or
+  // the last one.
+  uint64_t jobs_given_back = 0;
   // Set when no worker was added or removed recently, so that none is missing
   // for a moment only.
   bool workers_stable = false;
@@ -239,6 +251,15 @@
                    Instant now,
                    SchedulerCommands& out) -> void;
 
+// Handles that the group is evacuated. Jobs without a start are given back to
+// their origins, and none is started from now on. Jobs that have begun may
+// start their other tasks within the grace period; one that still needs a start
+// after it is stopped. Runs in progress end normally.
+auto OnEvacuated(Scheduler& state, Instant now, SchedulerCommands& out) -> void;
+// Handles that the evacuation of the group has ended.
+auto OnEvacuationEnded(Scheduler& state, Instant now, SchedulerCommands& out)
+    -> void;
+
 // Performs the actions that are due by time.
 auto OnTime(Scheduler& state, Instant now, SchedulerCommands& out) -> void;
 // Returns when OnTime must be called next; empty when no action is pending.
@@ -252,6 +273,9 @@
   uint32_t jobs = 0;
 };
 auto LoadOf(const Scheduler& state) -> GroupLoad;
+// Returns the number of runs that may be in progress on the group's workers,
+// including those of earlier holders that are known.
+auto CountRuns(const Scheduler& state) -> size_t;
 
 }  // namespace boragecroft
 
--- a/servers/scheduling/worker_events.cc
+++ b/servers/scheduling/worker_events.cc
@@ -146,7 +146,11 @@
   auto counters = state.counters;
   auto policy = std::move(state.policy);
   auto run_times = std::move(state.run_times);
+  const auto evacuated_since = state.evacuated_since;
+  const auto grace = state.started_job_grace;
   state = Scheduler();
+  state.evacuated_since = evacuated_since;
+  state.started_job_grace = grace;
   state.policy = std::move(policy);
   state.counters = counters;
   state.run_times = std::move(run_times);
--- a/tests/peers/handover/handover_codec_test.cc
+++ b/tests/peers/handover/handover_codec_test.cc
@@ -70,6 +70,51 @@
   EXPECT_EQ(read.groups[0].load.waiting, 3);
 }
 
+TEST(HandoverCodecTest, EvacuationsSurviveRoundTrip) {
+  HeartbeatMessage message;
+  message.evacuations = {{.zone = "north", .version = 1ULL << 40U},
+                         {.zone = "south", .version = 7, .active = true}};
+  const auto read = std::get<HeartbeatMessage>(RoundTrip(message));
+  EXPECT_EQ(read.evacuations, message.evacuations);
+  ResultMessage result;
+  result.result.evacuated = true;
+  EXPECT_TRUE(std::get<ResultMessage>(RoundTrip(result)).result.evacuated);
+}
+
+// Guards against bytes that deployments without evacuations would pay for. The
+// texts are what the version before evacuations encodes.
+TEST(HandoverCodecTest, MessagesWithoutEvacuationsKeepTheirBytes) {
+  using std::string_literals::operator""s;
+  HeartbeatMessage heartbeat;
+  heartbeat.configuration_version = 9;
+  heartbeat.reply = true;
+  heartbeat.groups.push_back(GroupStatus{.group = "north",
+                                         .token = 5,
+                                         .leaving = true,
+                                         .ready = true,
+                                         .load = {1, 2, 3, 4}});
+  EXPECT_EQ(EncodeHandover(heartbeat),
+            "\x2c\x16\x12\x19\x1c\x18\x05north\x16\x0a\x11\x15\x02\x15\x06"
+            "\x15\x08\x11\x15\x04\x00\x11\x00\x00"s);
+  ResultMessage result;
+  result.result = {.name = JobName{7},
+                   .outcome = JobOutcome::kRefused,
+                   .retry_after = milliseconds{1000},
+                   .submission = 1};
+  result.status.group = "north";
+  EXPECT_EQ(EncodeHandover(result),
+            "\x5c\x16\x0e\x13\x02\x16\xd0\x0f\x1c\x18\x05north\x16\x00\x12"
+            "\x15\x00\x15\x00\x15\x00\x12\x15\x00\x00\x15\x02\x00\x00"s);
+}
+
+TEST(HandoverCodecTest, RejectsEvacuationWithoutZoneOrVersion) {
+  HeartbeatMessage message;
+  message.evacuations = {{.zone = "", .version = 7}};
+  EXPECT_FALSE(DecodeHandover(EncodeHandover(message)));
+  message.evacuations = {{.zone = "north", .version = 0}};
+  EXPECT_FALSE(DecodeHandover(EncodeHandover(message)));
+}
+
 TEST(HandoverCodecTest, RejectsResultWhenOutcomeIsOutOfRange) {
   ResultMessage message;
   message.result.outcome = static_cast<JobOutcome>(9);
--- a/tests/platform/platform_formats_test.cc
+++ b/tests/platform/platform_formats_test.cc
@@ -4,6 +4,7 @@
 
 #include "platform/base64.h"
 #include "platform/configuration.h"
+#include "platform/evacuation_rows.h"
 #include "platform/group_rows.h"
 #include "platform/ingress.h"
 #include "platform/settings.h"
@@ -36,6 +37,48 @@
   EXPECT_EQ(settings.error()[0].found, "here");
 }
 
+TEST(PlatformSettingsTest, ParsesBoundOfEvacuations) {
+  const std::string text =
+      "node_name=f-1\nzone=north\nlisten.frontend=10.0.0.1:80\n"
+      "listen.readiness=10.0.0.1:81\nlisten.control=10.0.0.1:82\n"
+      "platform.addr=10.0.0.2:80\n";
+  EXPECT_EQ(ParseSettings(text).value().evacuation_bound, milliseconds{0});
+  EXPECT_EQ(ParseSettings(text + "bounds.evacuate_ms=5000\n")
+                .value()
+                .evacuation_bound,
+            milliseconds{5000});
+  EXPECT_TRUE(ParseSettings(text + "bounds.evacuate_ms=5s\n").has_error());
+}
+
+TEST(EvacuationRowTest, NamesZoneInItsKey) {
+  const auto row =
+      DecodeEvacuation({.key = "evacuate/a/b", .value = "{}", .version = 7});
+  ASSERT_TRUE(row);
+  EXPECT_EQ(row->evacuation, (Evacuation{"a/b", 7, true}));
+  EXPECT_TRUE(row->value_readable);
+  const auto deleted =
+      DecodeEvacuation({.key = "evacuate/a", .version = 8, .deleted = true});
+  ASSERT_TRUE(deleted);
+  EXPECT_EQ(deleted->evacuation, (Evacuation{"a", 8, false}));
+  EXPECT_TRUE(deleted->value_readable);
+  EXPECT_FALSE(DecodeEvacuation({.key = "config", .value = "{}"}));
+  EXPECT_FALSE(DecodeEvacuation({.key = "evacuate", .value = "{}"}));
+  const auto written = EncodeEvacuation({"a/b", 7, true});
+  EXPECT_EQ(DecodeEvacuation(written)->evacuation, row->evacuation);
+}
+
+// Guards against starts in a zone whose operator made a mistake in the value.
+TEST(EvacuationRowTest, EvacuatesItsZoneWhenItsValueIsUnreadable) {
+  for (const auto& value :
+       {std::optional<std::string>(), std::optional<std::string>("[]"),
+        std::optional<std::string>("{")}) {
+    const auto row = DecodeEvacuation({.key = "evacuate/a", .value = value});
+    ASSERT_TRUE(row);
+    EXPECT_TRUE(row->evacuation.active);
+    EXPECT_FALSE(row->value_readable);
+  }
+}
+
 TEST(Base64Test, RoundTripsAndRejectsInvalidText) {
   for (const std::string text : {"", "n", "no", "nod", "node", "\xff\x00z"}) {
     EXPECT_EQ(DecodeBase64(EncodeBase64(text)), text);
--- a/tests/servers/intake/intake_test.cc
+++ b/tests/servers/intake/intake_test.cc
@@ -2,6 +2,11 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+
 namespace boragecroft {
 namespace {
 
@@ -280,5 +285,134 @@
   EXPECT_TRUE(out.empty());
 }
 
+// An operator evacuates the zone of this instance.
+class EvacuatedOwnZone : public IntakeFixture {
+ protected:
+  auto Evacuate(std::set<std::string> groups, bool all = false) -> void {
+    OnEvacuatedGroups(state, {.groups = std::move(groups), .all = all}, now,
+                      out);
+  }
+
+  auto GiveBack(const std::string& group) -> void {
+    OnResult(state, group, state.groups[group].token,
+             {.name = JobName{1},
+              .outcome = JobOutcome::kRefused,
+              .evacuated = true},
+             now, out);
+  }
+};
+
+TEST_F(EvacuatedOwnZone, SendsJobsElsewhereAtOnce) {
+  Evacuate({"north"});
+  Submit(1, 8);
+  const auto handed = Take<HandOver>();
+  ASSERT_EQ(handed.size(), 1U);
+  EXPECT_EQ(handed[0].group, "south");
+  EXPECT_TRUE(handed[0].sent_elsewhere);
+}
+
+// Guards against refusals while another zone has room: the holder knew of the
+// evacuation before this instance, and its answer counted as a full group.
+TEST_F(EvacuatedOwnZone, OffersJobElsewhereThatHolderGaveBack) {
+  Submit(1, 8);
+  out.clear();
+  GiveBack("north");
+  const auto handed = Take<HandOver>();
+  ASSERT_EQ(handed.size(), 1U);
+  EXPECT_EQ(handed[0].group, "south");
+  EXPECT_TRUE(handed[0].sent_elsewhere);
+  EXPECT_FALSE(handed[0].offer.may_run_elsewhere);
+  const auto& job = state.jobs.at(JobName{1});
+  EXPECT_TRUE(job.refused_by.empty());
+  EXPECT_TRUE(job.full_groups.empty());
+}
+
+// Guards against a refusal in place of the wait at the last group with workers.
+TEST_F(EvacuatedOwnZone, LetsJobWaitAtFullGroupThatIsLeft) {
+  SetGroupView("south", 10, 0);
+  Evacuate({"north"});
+  Submit(1, 8);
+  ReceiveResult("south", JobOutcome::kRefused);
+  const auto handed = Take<HandOver>();
+  ASSERT_EQ(handed.size(), 2U);
+  EXPECT_EQ(handed[1].group, "south");
+  EXPECT_FALSE(handed[1].offer.immediate_only);
+}
+
+TEST_F(EvacuatedOwnZone, IsNotAskedAgainByJobThatItGaveBack) {
+  LoseHolder("south");
+  Submit(1, 8);
+  out.clear();
+  GiveBack("north");
+  EXPECT_TRUE(out.empty());
+  SetGroupView("north", 10, 20);
+  EXPECT_TRUE(out.empty());
+  SetGroupView("south", 10, 20);
+  EXPECT_EQ(Take<HandOver>().at(0).group, "south");
+}
+
+TEST_F(EvacuatedOwnZone, GetsJobsAgainOnceItIsBack) {
+  LoseHolder("south");
+  Evacuate({"north"});
+  Submit(1, 8);
+  EXPECT_TRUE(out.empty());
+  SetGroupView("north", 10, 20);
+  EXPECT_TRUE(out.empty());
+  Evacuate({});
+  const auto handed = Take<HandOver>();
+  ASSERT_EQ(handed.size(), 1U);
+  EXPECT_EQ(handed[0].group, "north");
+  EXPECT_FALSE(handed[0].sent_elsewhere);
+}
+
+// Guards against a start by a successor that does not know of the evacuation
+// yet.
+TEST_F(EvacuatedOwnZone, GetsNoJobOfLostHolder) {
+  Submit(1, 8);
+  Evacuate({"north"});
+  LoseHolder("north");
+  out.clear();
+  SetGroupView("north", 11, 20);
+  EXPECT_TRUE(std::holds_alternative<AnswerJob>(out.at(0)));
+  EXPECT_EQ(Take<AnswerJob>().at(0).result.outcome, JobOutcome::kStopped);
+}
+
+// Guards against the loss of runs in progress: only the connection to their
+// holder was lost, and they would be stopped when it is not told of the job.
+TEST_F(EvacuatedOwnZone, KeepsJobAtHolderThatIsBack) {
+  Submit(1, 8);
+  Evacuate({"north"});
+  LoseHolder("north");
+  out.clear();
+  SetGroupView("north", 10, 20);
+  EXPECT_EQ(Take<HandOver>().at(0).group, "north");
+}
+
+// Guards against callers that wait for nothing: no zone is left.
+TEST_F(EvacuatedOwnZone, RefusesEveryJobWhenAllZonesAreEvacuated) {
+  Submit(1, 8);
+  out.clear();
+  Evacuate({"north", "south"}, true);
+  EXPECT_TRUE(out.empty());
+  GiveBack("north");
+  const auto given_back = Take<AnswerJob>().at(0);
+  EXPECT_EQ(given_back.result.outcome, JobOutcome::kRefused);
+  EXPECT_TRUE(given_back.all_evacuated);
+  Submit(2, 8);
+  const auto refused = Take<AnswerJob>().at(0);
+  EXPECT_TRUE(refused.all_evacuated);
+  EXPECT_EQ(refused.result.retry_after, seconds(5));
+  EXPECT_TRUE(state.jobs.empty());
+}
+
+TEST_F(EvacuatedOwnZone, RefusesWaitingJobsWhenAllZonesAreEvacuated) {
+  LoseHolder("north");
+  LoseHolder("south");
+  Submit(1, 8);
+  EXPECT_TRUE(out.empty());
+  Evacuate({"north", "south"}, true);
+  EXPECT_TRUE(Take<AnswerJob>().at(0).all_evacuated);
+}
+
 }  // namespace
 }  // namespace boragecroft
--- a/tests/servers/scheduling/invariants_test.cc
+++ b/tests/servers/scheduling/invariants_test.cc
@@ -45,7 +45,8 @@
   // holder while the former one is alive. The origin withdraws its jobs from
   // the former holder up to 700 ms later, as it does after an unresponsive
   // connection.
-  static auto RunScenario(uint64_t seed, VirtualFaults faults)
+  // With `evacuates`, the group is evacuated from 3 s to 6 s.
+  static auto RunScenario(uint64_t seed, VirtualFaults faults, bool evacuates)
       -> VirtualResult {
     VirtualFleet fleet(seed, faults, 4);
     auto* holder = &fleet.TakeOver(true);
@@ -53,6 +54,11 @@
     uint64_t next = 1;
     for (auto ms = 0; ms < kScenarioMs; ++ms) {
       fleet.Step();
+      if (evacuates && ms == 3000) {
+        fleet.Evacuate();
+      } else if (evacuates && ms == 6000) {
+        fleet.EndEvacuation();
+      }
       if (fleet.Draw(40) == 0) {
         auto offer = MakeOffer(next++, 1 + fleet.Draw(5));
         fleet.Offer(*holder, offer);
@@ -93,7 +99,8 @@
   uint64_t starts = 0;
   uint64_t done = 0;
   for (auto seed = 1; seed <= SeedCount(); ++seed) {
-    const auto result = RunScenario(static_cast<uint64_t>(seed), GetParam());
+    const auto result =
+        RunScenario(static_cast<uint64_t>(seed), GetParam(), false);
     ASSERT_TRUE(result.violations.empty())
         << "seed " << seed << ": " << result.violations.front();
     starts += result.starts;
@@ -104,6 +111,20 @@
   EXPECT_GT(done, static_cast<uint64_t>(SeedCount()) * 20);
 }
 
+// Guards against starts in an evacuated group by any path: new offers, retries,
+// moves, late orders, restarted workers, and holders that take over.
+TEST_P(RandomScenarios, StartNothingInEvacuatedGroup) {
+  uint64_t starts = 0;
+  for (auto seed = 1; seed <= SeedCount(); ++seed) {
+    const auto result =
+        RunScenario(static_cast<uint64_t>(seed), GetParam(), true);
+    ASSERT_TRUE(result.violations.empty())
+        << "seed " << seed << ": " << result.violations.front();
+    starts += result.starts;
+  }
+  EXPECT_GT(starts, static_cast<uint64_t>(SeedCount()) * 60);
+}
+
 // Guards against runs that outlast their job because their stops remain
 // unanswered while the other runs of the worker have their leases extended.
 TEST(WithdrawnJobs, HaveNoRunsWhenTheirCallersSendThemAgain) {
--- a/tests/servers/scheduling/virtual_workers.cc
+++ b/tests/servers/scheduling/virtual_workers.cc
@@ -14,6 +14,10 @@
 // After this time a caller without an answer sends its job again.
 constexpr milliseconds kRetransmit{1300};
 constexpr int64_t kNeeds = 14'000;
+constexpr milliseconds kGrace{400};
+// Time after which an order that was sent at the end of the grace is not
+// carried out any more: its lease has expired, also on a slow clock.
+constexpr milliseconds kLatestStart = kGrace + milliseconds{570};
 // Lower bound of the rate of a worker's clock.
 constexpr double kMinClockRate = 0.98;
 
@@ -94,6 +98,10 @@
     entries.push_back(it.entry);
   }
   SchedulerCommands commands;
+  holders_[index]->scheduler.started_job_grace = kGrace;
+  if (evacuated_since_) {
+    OnEvacuated(holders_[index]->scheduler, now_, commands);
+  }
   BeginTerm(holders_[index]->scheduler, (index + 1) * kTokensPerTerm, entries,
             stable, now_, commands);
   OnWorkersKnown(holders_[index]->scheduler, now_, now_, commands);
@@ -103,6 +111,7 @@
 
 auto VirtualFleet::Offer(VirtualHolder& holder, JobOffer offer) -> void {
   withdrawn_at_.erase(offer.name);
+  given_back_.erase(offer.name);
   for (size_t i = 0; i < holders_.size(); ++i) {
     if (holders_[i].get() == &holder) {
       SchedulerCommands commands;
@@ -151,6 +160,24 @@
   });
 }
 
+auto VirtualFleet::Evacuate() -> void {
+  evacuated_since_ = now_;
+  for (size_t i = 0; i < holders_.size(); ++i) {
+    SchedulerCommands commands;
+    OnEvacuated(holders_[i]->scheduler, now_, commands);
+    Run(i, commands);
+  }
+}
+
+auto VirtualFleet::EndEvacuation() -> void {
+  evacuated_since_.reset();
+  for (size_t i = 0; i < holders_.size(); ++i) {
+    SchedulerCommands commands;
+    OnEvacuationEnded(holders_[i]->scheduler, now_, commands);
+    Run(i, commands);
+  }
+}
+
 auto VirtualFleet::Run(size_t holder, const SchedulerCommands& commands)
     -> void {
   for (const auto& it : commands) {
@@ -231,6 +258,9 @@
 auto VirtualFleet::Send(size_t /*holder*/, const ResultCommand& command)
     -> void {
   result_.done += command.result.outcome == JobOutcome::kDone ? 1 : 0;
+  if (command.result.evacuated) {
+    given_back_.insert(command.result.name);
+  }
 }
 
 auto VirtualFleet::Send(size_t holder, const FencedCommand& /*command*/)
@@ -266,6 +296,7 @@
       .task = order.task, .attempt = order.attempt, .ends = now_ + run_time});
   ++result_.starts;
   CheckInvariants(worker, order.task);
+  CheckEvacuated(order.task);
   return OrderAnswer::kAccepted;
 }
 
@@ -385,6 +416,17 @@
   }
 }
 
+auto VirtualFleet::CheckEvacuated(TaskName task) -> void {
+  if (evacuated_since_ && now_ - *evacuated_since_ > kLatestStart) {
+    result_.violations.push_back(ToString(task) +
+                                 " starts in the evacuated group");
+  }
+  if (given_back_.contains(task.job)) {
+    result_.violations.push_back(ToString(task) +
+                                 " starts after its job was given back");
+  }
+}
+
 auto VirtualFleet::FindWorker(const std::string& id) -> VirtualWorker& {
   return *std::find_if(
       workers_.begin(), workers_.end(),
--- a/tests/servers/scheduling/virtual_workers.h
+++ b/tests/servers/scheduling/virtual_workers.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -73,6 +74,9 @@
   // to another availability zone after 1.3 s, so its runs must have ended then.
   auto Withdraw(VirtualHolder& holder, JobName job) -> void;
   auto RestartWorker(size_t index) -> void;
+  // Evacuates the group at all holders, those that follow included.
+  auto Evacuate() -> void;
+  auto EndEvacuation() -> void;
   auto Draw(int bound) -> int;
 
   auto Now() const -> Instant { return now_; }
@@ -101,6 +105,7 @@
   auto EndRun(VirtualWorker& worker, size_t index, RunEnd end) -> void;
   auto CheckInvariants(const VirtualWorker& worker, TaskName task) -> void;
   auto CheckWithdrawn(const VirtualRun& run) -> void;
+  auto CheckEvacuated(TaskName task) -> void;
   auto FindWorker(const std::string& id) -> VirtualWorker&;
 
   std::mt19937_64 random_;
@@ -110,6 +115,8 @@
   std::vector<std::unique_ptr<VirtualHolder>> holders_;
   std::multimap<Instant, std::function<void()>> event_queue_;
   std::map<JobName, Instant> withdrawn_at_;
+  std::optional<Instant> evacuated_since_;
+  std::set<JobName> given_back_;  // jobs that were answered as not run
   VirtualResult result_;
 };
 
