--- a/tests/lab/partition.cc
+++ b/tests/lab/partition.cc
@@ -37,11 +37,11 @@
  public:
   RelayedConnection(Relay& relay,
                     const std::set<std::string>& instances,
-                    const std::set<std::string>& cut_off,
+                    const Cuts& cuts,
                     tcp::socket source)
       : relay_(relay),
         instances_(instances),
-        cut_off_(cut_off),
+        cuts_(cuts),
         from_(relay.from),
         source_(std::move(source)),
         target_(source_.get_executor()),
@@ -76,8 +76,9 @@
 
   // Nothing passes before it is known which instance opened the connection.
   auto IsCut() const -> bool {
-    return from_.empty() || cut_off_.contains(from_) ||
-           cut_off_.contains(relay_.to);
+    return from_.empty() || cuts_.instances.contains(from_) ||
+           cuts_.instances.contains(relay_.to) ||
+           cuts_.links.contains({from_, relay_.to});
   }
 
   auto Read(Direction& at) -> void {
@@ -132,7 +133,7 @@
 
   Relay& relay_;
   const std::set<std::string>& instances_;
-  const std::set<std::string>& cut_off_;
+  const Cuts& cuts_;
   std::string from_;
   tcp::socket source_;
   tcp::socket target_;
@@ -142,16 +143,16 @@
 
 static auto Accept(Relay& relay,
                    const std::set<std::string>& instances,
-                   const std::set<std::string>& cut_off) -> void {
+                   const Cuts& cuts) -> void {
   relay.acceptor.async_accept(
       [&](boost::system::error_code ec, tcp::socket socket) {
         if (ec) {
           return;
         }
-        std::make_shared<RelayedConnection>(relay, instances, cut_off,
+        std::make_shared<RelayedConnection>(relay, instances, cuts,
                                             std::move(socket))
             ->Start();
-        Accept(relay, instances, cut_off);
+        Accept(relay, instances, cuts);
       });
 }
 
@@ -180,7 +181,7 @@
     address = Address{.ip = "127.0.0.1",
                       .port = relay->acceptor.local_endpoint().port()};
     instances_.insert(from.empty() ? to : from);
-    detail::Accept(*relay, instances_, cut_off_);
+    detail::Accept(*relay, instances_, cuts_);
     relays_.push_back(std::move(relay));
   });
   return address;
@@ -198,11 +199,21 @@
 }
 
 auto PartitionedNetwork::CutOff(const std::string& instance) -> void {
-  Run([&] { cut_off_.insert(instance); });
+  Run([&] { cuts_.instances.insert(instance); });
 }
 
 auto PartitionedNetwork::Reconnect(const std::string& instance) -> void {
-  Run([&] { cut_off_.erase(instance); });
+  Run([&] { cuts_.instances.erase(instance); });
+}
+
+auto PartitionedNetwork::CutLink(const std::string& from, const std::string& to)
+    -> void {
+  Run([&] { cuts_.links.emplace(from, to); });
+}
+
+auto PartitionedNetwork::RestoreLink(const std::string& from,
+                                     const std::string& to) -> void {
+  Run([&] { cuts_.links.erase({from, to}); });
 }
 
 auto PartitionedNetwork::Run(const std::function<void()>& action) -> void {
--- a/tests/lab/partition.h
+++ b/tests/lab/partition.h
@@ -11,6 +11,7 @@
 #include <set>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "core/base/address.h"
@@ -19,7 +20,13 @@
 
 namespace detail {
 struct Relay;
-}
+
+// The links that pass nothing at present.
+struct Cuts {
+  std::set<std::string> instances;  // all links of these
+  std::set<std::pair<std::string, std::string>> links;
+};
+}  // namespace detail
 
 class PartitionedNetwork {
  public:
@@ -38,6 +45,9 @@
   // Cuts an instance off from the store and from all other instances.
   auto CutOff(const std::string& instance) -> void;
   auto Reconnect(const std::string& instance) -> void;
+  // Cuts only the connections that `from` opens to `to`.
+  auto CutLink(const std::string& from, const std::string& to) -> void;
+  auto RestoreLink(const std::string& from, const std::string& to) -> void;
 
  private:
   auto Run(const std::function<void()>& action) -> void;
@@ -47,7 +57,7 @@
       work_;
   std::vector<std::unique_ptr<detail::Relay>> relays_;
   std::set<std::string> instances_;
-  std::set<std::string> cut_off_;
+  detail::Cuts cuts_;
   std::thread thread_;
 };
 
--- a/tests/lab/platform_fleet.cc
+++ b/tests/lab/platform_fleet.cc
@@ -17,6 +17,9 @@
 
 constexpr milliseconds kStartTimeout{20000};
 constexpr auto kHost = "letters.example";
+constexpr auto kOperatorTable = "op";
+constexpr auto kEvacuationPrefix = "evacuate/";
+constexpr auto kStoreName = "store";
 constexpr auto kProgram = BORAGECROFT_BIN "/boragecroft_entryd";
 constexpr auto kStandin = BORAGECROFT_BIN "/fleet_standin";
 
@@ -84,7 +87,7 @@
       instance.name = zone + "-" + std::to_string(i);
       instance.store = store_;
       if (network_) {
-        instance.store = network_->AddRelay(instance.name, "store");
+        instance.store = network_->AddRelay(instance.name, kStoreName);
         network_->SetTarget(instance.store, store_);
         instance.advertised = network_->AddRelay("", instance.name);
       }
@@ -113,7 +116,8 @@
   }
   out << "listen.frontend=127.0.0.1:0\nlisten.readiness=127.0.0.1:0\n"
       << "listen.control=127.0.0.1:0\nplatform.addr="
-      << ToString(instance.store) << "\nlimits.max_fds=2048\n";
+      << ToString(instance.store)
+      << "\nlimits.max_fds=2048\nbounds.evacuate_ms=5000\n";
   out.close();
   std::vector<std::string> command = {kProgram, "--settings", settings,
                                       "--metrics-port", "0"};
@@ -146,6 +150,14 @@
   network_->Reconnect(instance.name);
 }
 
+auto PlatformFleet::CutOffFromStore(const EntryProcess& instance) -> void {
+  network_->CutLink(instance.name, kStoreName);
+}
+
+auto PlatformFleet::ReconnectToStore(const EntryProcess& instance) -> void {
+  network_->RestoreLink(instance.name, kStoreName);
+}
+
 auto PlatformFleet::HeldTerms() const -> std::vector<HeldTerm> {
   std::vector<HeldTerm> terms;
   for (const auto& it : instances_) {
@@ -167,6 +179,21 @@
   return terms;
 }
 
+auto PlatformFleet::FindHolder(const std::string& group) const -> size_t {
+  HeldTerm newest;
+  for (const auto& it : HeldTerms()) {
+    if (it.group == group && it.token >= newest.token) {
+      newest = it;
+    }
+  }
+  for (size_t i = 0; i < instances_.size(); ++i) {
+    if (newest.instance.starts_with(instances_[i].name + "-")) {
+      return i;
+    }
+  }
+  throw std::runtime_error("no instance holds " + group);
+}
+
 auto PlatformFleet::AwaitService() -> bool {
   constexpr int kMaxSubmissions = 400;
   uint64_t name = 0xffff'0000'0000'0000ULL;
@@ -215,10 +242,45 @@
   Post(control_, path, body);
 }
 
+auto PlatformFleet::Evacuate(const std::string& zone) -> WriteTime {
+  return WriteRow("/row-put", {{"table", kOperatorTable},
+                               {"key", std::string(kEvacuationPrefix) + zone},
+                               {"value", "{}"}});
+}
+
+auto PlatformFleet::EndEvacuation(const std::string& zone) -> WriteTime {
+  return WriteRow("/row-drop",
+                  {{"table", kOperatorTable},
+                   {"key", std::string(kEvacuationPrefix) + zone}});
+}
+
+auto PlatformFleet::WriteRow(const std::string& path,
+                             const boost::json::object& body) -> WriteTime {
+  const auto reply = Post(control_, path, body);
+  if (reply.status != 200) {
+    throw std::runtime_error("the stand-in did not acknowledge a write");
+  }
+  return WriteTime{.version = static_cast<uint64_t>(reply.Number("ver")),
+                   .now_ms = reply.Number("now_ms")};
+}
+
 auto PlatformFleet::FetchRunStatistics() -> boost::json::object {
   const auto reply = Get(control_, "/account");
   return reply.body.is_object() ? reply.body.get_object()
                                 : boost::json::object();
 }
 
+auto PlatformFleet::CountStartsInZone(const std::string& zone)
+    -> ZoneStartCount {
+  const auto statistics = FetchRunStatistics();
+  const auto& zones = statistics.at("zones").as_object();
+  const auto* found = zones.if_contains(zone);
+  if (found == nullptr) {
+    return {};
+  }
+  return ZoneStartCount{
+      .starts = found->at("starts").to_number<int64_t>(),
+      .last_start_ms = found->at("last_start_ms").to_number<int64_t>()};
+}
+
 }  // namespace boragecroft::lab
--- a/tests/lab/platform_fleet.h
+++ b/tests/lab/platform_fleet.h
@@ -35,6 +35,18 @@
   uint64_t token = 0;
 };
 
+// Starts on the workers of a zone.
+struct ZoneStartCount {
+  int64_t starts = 0;
+  int64_t last_start_ms = 0;  // on the clock of WriteTime
+};
+
+// The acknowledged write of a row.
+struct WriteTime {
+  uint64_t version = 0;
+  int64_t now_ms = 0;  // since the start of the stand-in
+};
+
 enum class FleetNetwork {
   kDirect,
   kRelayed,  // instances can be cut off
@@ -58,8 +70,14 @@
   // from the workers and its callers. Needs FleetNetwork::kRelayed.
   auto CutOff(const EntryProcess& instance) -> void;
   auto Reconnect(const EntryProcess& instance) -> void;
+  // Cuts an instance off from the store only. Needs FleetNetwork::kRelayed.
+  auto CutOffFromStore(const EntryProcess& instance) -> void;
+  auto ReconnectToStore(const EntryProcess& instance) -> void;
   // Returns the terms of all processes so far, of each process in order.
   auto HeldTerms() const -> std::vector<HeldTerm>;
+  // Returns the index of the instance whose term of `group` has the highest
+  // token, according to the logs.
+  auto FindHolder(const std::string& group) const -> size_t;
   // Submits jobs until each instance has served one. Returns false when an
   // instance served none of 400.
   auto AwaitService() -> bool;
@@ -74,9 +92,18 @@
   auto Cancel(const EntryProcess& instance, uint64_t name) -> JsonReply;
   auto Control(const std::string& path, const boost::json::object& body)
       -> void;
+  // Writes or deletes the operator's row that evacuates `zone`, and returns
+  // when the store has acknowledged it. Throws std::runtime_error without an
+  // answer.
+  auto Evacuate(const std::string& zone) -> WriteTime;
+  auto EndEvacuation(const std::string& zone) -> WriteTime;
   auto FetchRunStatistics() -> boost::json::object;
+  auto CountStartsInZone(const std::string& zone) -> ZoneStartCount;
 
  private:
+  auto WriteRow(const std::string& path, const boost::json::object& body)
+      -> WriteTime;
+
   std::string folder_;
   Address store_;
   Address control_;
--- a/tests/process/partitioned_successor_test.cc
+++ b/tests/process/partitioned_successor_test.cc
@@ -54,17 +54,6 @@
     callers.clear();
   }
 
-  // Returns the index of the instance whose term has the highest token.
-  auto FindHolder() -> size_t {
-    HeldTerm newest;
-    for (const auto& it : fleet.HeldTerms()) {
-      if (it.group == kZone && it.token >= newest.token) {
-        newest = it;
-      }
-    }
-    return newest.instance.starts_with("north-1") ? 0 : 1;
-  }
-
   // Expects that no task ran twice at the same time, that no worker ran more
   // tasks than it has slots, and that no two processes held a group with the
   // same token.
@@ -90,7 +79,7 @@
 // worker's capacity: a successor that was cut off took over with the token
 // reserved for it, and the former holder took the group back with the same one.
 TEST_F(TwoInstancesOfZone, NeverShareTokenWhenSuccessorIsCutOff) {
-  auto& successor = fleet.Instances()[1 - FindHolder()];
+  auto& successor = fleet.Instances()[1 - fleet.FindHolder(kZone)];
   fleet.CutOff(successor);
   std::this_thread::sleep_for(kPartition);
   fleet.Reconnect(successor);
@@ -106,7 +95,7 @@
 TEST_F(TwoInstancesOfZone, TakeOverAfterGroupRowIsDeleted) {
   fleet.Control("/row-drop", {{"table", "boragecroft-groups"}, {"key", kZone}});
   std::this_thread::sleep_for(kRowUpdate);
-  const auto holder = FindHolder();
+  const auto holder = fleet.FindHolder(kZone);
   fleet.Instances()[holder].process->Kill();
   std::this_thread::sleep_for(seconds(1));
   StopCallers();
--- a/tests/standins/fleet/fleet_worker.cc
+++ b/tests/standins/fleet/fleet_worker.cc
@@ -104,6 +104,7 @@
 auto BeginRun(FleetWorker& worker, const std::string& task, uint64_t attempt)
     -> void {
   ++worker.statistics.starts;
+  worker.statistics.zones[worker.zone].times.push_back(BootClock::now());
   if (++worker.statistics.running[task] > 1) {
     worker.statistics.overlapping_tasks.push_back(task);
   }
--- a/tests/standins/fleet/fleet_worker.h
+++ b/tests/standins/fleet/fleet_worker.h
@@ -20,6 +20,11 @@
 
 enum class WorkerMode { kUp, kNoResponse };
 
+// The starts of runs on the workers of one zone.
+struct ZoneStarts {
+  std::vector<Instant> times;  // in the order of the starts
+};
+
 // Statistics of the runs on all workers. Tests check with them that no task ran
 // twice at the same time and that no worker exceeded its slots.
 struct RunStatistics {
@@ -28,6 +33,7 @@
   // Tasks that had two runs at the same time.
   std::vector<std::string> overlapping_tasks;
   uint64_t starts = 0;
+  std::map<std::string, ZoneStarts> zones;
   uint64_t over_capacity = 0;
   uint64_t fenced = 0;  // orders refused because of a lower token
   uint64_t expired = 0;
--- a/tests/standins/fleet/main.cc
+++ b/tests/standins/fleet/main.cc
@@ -3,8 +3,14 @@
 // "ready".
 // The control port serves POST /store {"mode": "up" | "refuses" | "silent"};
 // POST /worker {"id", "mode": "up" | "silent" | "restart" | "draining" |
-// "gone", "run_ms"}; POST /configuration {"version", "prefix"}; POST /row-drop
-// {"table", "key"}; GET /account.
+// "gone", "run_ms"}; POST /configuration {"version", "prefix"}; POST /row-put
+// {"table", "key", "value"}, whose value is plain text; POST /row-drop
+// {"table", "key"}; GET /account. The answers to /row-put and /row-drop are the
+// store's acknowledgement of the write. They have "ver", the version of the row
+// or of its deletion, and "now_ms", the time of the write since the start of
+// the stand-in. GET /account gives for each zone in "zones" the number of
+// starts on its workers and the time of the last one on the same clock
+// ("last_start_ms").
 #include <boost/asio/signal_set.hpp>
 #include <iostream>
 #include <map>
@@ -19,6 +25,7 @@
 namespace {
 
 struct Fleet {
+  Instant started_at = BootClock::now();
   boost::asio::io_context context;
   Store store{context};
   RunStatistics statistics;
@@ -41,6 +48,22 @@
   PutRow(fleet.store, "op", "config", ToJsonText(document));
 }
 
+// Returns milliseconds since the start of the stand-in.
+auto ElapsedMs(const Fleet& fleet, Instant at) -> int64_t {
+  return std::chrono::duration_cast<milliseconds>(at - fleet.started_at)
+      .count();
+}
+
+auto ZonesJson(const Fleet& fleet) -> json::object {
+  json::object out;
+  for (const auto& [zone, starts] : fleet.statistics.zones) {
+    out[zone] =
+        json::object{{"starts", starts.times.size()},
+                     {"last_start_ms", ElapsedMs(fleet, starts.times.back())}};
+  }
+  return out;
+}
+
 auto StatisticsJson(const Fleet& fleet) -> json::object {
   uint64_t done = 0;
   for (const auto& [task, n] : fleet.statistics.done) {
@@ -51,6 +74,7 @@
     overlapping_tasks.push_back(json::value(it));
   }
   return {{"starts", fleet.statistics.starts},
+          {"zones", ZonesJson(fleet)},
           {"tasks_done", done},
           {"twice", std::move(overlapping_tasks)},
           {"over_room", fleet.statistics.over_capacity},
@@ -84,6 +108,12 @@
                                         : StoreMode::kUp;
 }
 
+auto Acknowledge(const Fleet& fleet) -> HttpResponse {
+  return JsonReply(
+      200, json::object{{"ver", fleet.store.version},
+                        {"now_ms", ElapsedMs(fleet, BootClock::now())}});
+}
+
 auto Control(Fleet& fleet, const HttpRequest& request) -> HttpResponse {
   const auto body = JsonBody(request);
   if (request.target == "/account") {
@@ -93,8 +123,13 @@
     SetStore(fleet, body);
   } else if (request.target == "/worker") {
     SetWorker(fleet, body);
+  } else if (request.target == "/row-put") {
+    PutRow(fleet.store, TextOr(body, "table", ""), TextOr(body, "key", ""),
+           TextOr(body, "value", ""));
+    return Acknowledge(fleet);
   } else if (request.target == "/row-drop") {
     DropRow(fleet.store, TextOr(body, "table", ""), TextOr(body, "key", ""));
+    return Acknowledge(fleet);
   } else if (request.target == "/configuration") {
     Configure(fleet, NumberOr(body, "version", 1),
               TextOr(body, "prefix", "/reminders/"));
