--- a/tests/platform/platform_formats_test.cc
+++ b/tests/platform/platform_formats_test.cc
@@ -79,6 +79,14 @@
   }
 }
 
+TEST(AllZonesEvacuated, IsAnsweredAsNotRunWithTimeOfRetry) {
+  const auto response = EncodeAllEvacuated(milliseconds{5000});
+  EXPECT_EQ(response.status, 503);
+  EXPECT_NE(response.body.find("not run: all availability zones"),
+            std::string::npos);
+  EXPECT_EQ(FindHeader(response.headers, "Retry-After"), "5");
+}
+
 TEST(Base64Test, RoundTripsAndRejectsInvalidText) {
   for (const std::string text : {"", "n", "no", "nod", "node", "\xff\x00z"}) {
     EXPECT_EQ(DecodeBase64(EncodeBase64(text)), text);
--- a/tests/servers/scheduling/evacuation_test.cc
+++ b/tests/servers/scheduling/evacuation_test.cc
@@ -62,7 +62,10 @@
   ExpectOneResult(JobOutcome::kRefused, true);
   EXPECT_FALSE(state.jobs.contains(JobName{2}));
   EXPECT_EQ(state.jobs_given_back, 1U);
-  Offer(MakeLongOffer(3, 1));
+  // The group is full, but that is not why it does not take the job.
+  auto offer = MakeLongOffer(3, 1);
+  offer.immediate_only = true;
+  Offer(offer);
   ExpectOneResult(JobOutcome::kRefused, true);
   EXPECT_TRUE(Take<StartCommand>().empty());
 }
--- a/tests/servers/scheduling/virtual_workers.cc
+++ b/tests/servers/scheduling/virtual_workers.cc
@@ -14,7 +14,7 @@
 // After this time a caller without an answer sends its job again.
 constexpr milliseconds kRetransmit{1300};
 constexpr int64_t kNeeds = 14'000;
-constexpr milliseconds kGrace{400};
+constexpr milliseconds kGrace{100};
 // Time after which an order that was sent at the end of the grace is not
 // carried out any more: its lease has expired, also on a slow clock.
 constexpr milliseconds kLatestStart = kGrace + milliseconds{570};
