Check that an operator's row and its deletion reach an instance

Cause: no test failed when store_flow ignored the rows of evacuations, as it did before for every key but that of the configuration; only a trial with processes showed it.

Change: an instance follows a store in the same process that lists the row and then reports its deletion.

--- a/tests/main/entry/evacuation_test.cc
+++ b/tests/main/entry/evacuation_test.cc
@@ -1,8 +1,13 @@
 #include <gtest/gtest.h>
 
 #include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
+#include "core/http/http_server.h"
 #include "main/entry/entry_instance.h"
 #include "main/entry/evacuation_flow.h"
 #include "main/entry/group_flow.h"
@@ -111,5 +116,67 @@
   EXPECT_FALSE(state.intake.evacuated.all);
 }
 
+// An instance whose store has the operator's row of its zone. The feeds of the
+// store wait until the test answers them.
+class InstanceWithStore : public testing::Test {
+ protected:
+  void SetUp() override {
+    HttpServerCallbacks calls;
+    calls.on_request = [this](const HttpRequest& request,
+                              HttpResponder respond) {
+      const auto of_operators =
+          request.target.find("table=op") != std::string::npos;
+      if (TargetPath(request.target) != "/rows-get") {
+        (of_operators ? operator_feeds : other_feeds)
+            .push_back(std::move(respond));
+        return;
+      }
+      respond(Body(of_operators ? R"({"rows":[{"key":"evacuate/north",)"
+                                  R"("value":"e30=","ver":3}],"ver":5})"
+                                : R"({"rows":[],"ver":5})"));
+    };
+    HttpServerOptions options;
+    options.listen = Loopback();
+    store_server =
+        HttpServer::Listen(context, options, std::move(calls)).value();
+    auto settings = MakeEntrySettings();
+    settings.store = Loopback(store_server->Port());
+    state = std::make_unique<EntryState>(context, settings, uint16_t{0});
+    ASSERT_TRUE(StartEntry(*state).has_value());
+  }
+
+  static auto Body(const std::string& text) -> HttpResponse {
+    HttpResponse out;
+    out.body = text;
+    return out;
+  }
+
+  auto RunUntil(const std::function<bool()>& condition) -> void {
+    while (!condition() && context.run_one_for(seconds(5)) > 0) {
+    }
+    ASSERT_TRUE(condition());
+  }
+
+  boost::asio::io_context context;
+  std::vector<HttpResponder> operator_feeds;
+  std::vector<HttpResponder> other_feeds;
+  std::unique_ptr<HttpServer> store_server;
+  std::unique_ptr<EntryState> state;
+};
+
+// Guards against rows that the instance reads and ignores, as it did with every
+// key but that of the configuration.
+TEST_F(InstanceWithStore, FollowsOperatorsRowAndItsDeletion) {
+  RunUntil([this] { return !operator_feeds.empty(); });
+  EXPECT_EQ(ListEvacuations(state->evacuations),
+            (std::vector<Evacuation>{{"north", 3, true}}));
+  EXPECT_TRUE(state->intake.evacuated.all);
+  operator_feeds.front()(Body(
+      R"({"rows":[{"key":"evacuate/north","ver":7,"deleted":true}],"ver":7})"));
+  RunUntil([this] { return !state->intake.evacuated.all; });
+  EXPECT_EQ(ListEvacuations(state->evacuations),
+            (std::vector<Evacuation>{{"north", 7, false}}));
+}
+
 }  // namespace
 }  // namespace boragecroft
