Report room of a new holder before its first offer

Cause: a holder derives its free slots from the size of recent offers, so one without an offer reported none. Origins pass over a group without free slots while another has some: after a takeover without jobs the group stayed unused. Found by evacuation_tests, whose zone was taken over while it was empty: no start within 20 s of the end of the evacuation, 2 of 2 tests in 2 runs. Change: until the first offer of a term one slot for each idle worker is reported.

--- a/servers/scheduling/job_events.cc
+++ b/servers/scheduling/job_events.cc
@@ -210,10 +210,22 @@
   return next;
 }
 
+// Returns the free slots to report. The size of a task is not known before the
+// first offer of a term. One slot for each idle worker is reported until then:
+// a group without free slots gets no jobs while another one has some, so it
+// would never get its first offer.
+static auto FreeSlotsOf(const Scheduler& state) -> FreeSlots {
+  if (state.typical_service.empty()) {
+    const auto idle = CountIdleWorkers(state.workers);
+    return {.all = idle, .fast = idle};
+  }
+  return CountFreeSlots(state.workers, state.run_times, state.typical_service,
+                        state.typical_needs);
+}
+
 auto LoadOf(const Scheduler& state) -> GroupLoad {
   GroupLoad load;
-  const auto slots = CountFreeSlots(state.workers, state.run_times,
-                                    state.typical_service, state.typical_needs);
+  const auto slots = FreeSlotsOf(state);
   if (!state.evacuated_since) {
     load.free_slots = slots.all;
     load.fast_slots = slots.fast;
--- a/servers/scheduling/placement.cc
+++ b/servers/scheduling/placement.cc
@@ -284,6 +284,14 @@
   return slots;
 }
 
+auto CountIdleWorkers(const WorkerAccounts& workers) -> uint32_t {
+  return static_cast<uint32_t>(
+      std::count_if(workers.begin(), workers.end(), [](const auto& it) {
+        return IsUsable(it.second, it.second.entry.service) &&
+               it.second.runs.empty();
+      }));
+}
+
 auto CountSlots(const WorkerAccounts& workers,
                 const std::string& service,
                 const Resources& needs) -> uint32_t {
--- a/servers/scheduling/placement.h
+++ b/servers/scheduling/placement.h
@@ -62,6 +62,9 @@
                     const std::string& service,
                     const Resources& needs) -> FreeSlots;
 
+// Returns the number of usable workers without a run, of any service.
+auto CountIdleWorkers(const WorkerAccounts& workers) -> uint32_t;
+
 // Returns how many tasks with these needs the usable workers can run at the
 // same time when nothing else runs on them.
 auto CountSlots(const WorkerAccounts& workers,
--- a/tests/servers/scheduling/term_test.cc
+++ b/tests/servers/scheduling/term_test.cc
@@ -34,6 +34,17 @@
   EXPECT_EQ(stops[0].task.job, JobName{9});
 }
 
+// Guards against a group that gets no job after a takeover while another group
+// has room: its holder reported no free slots until its first offer.
+TEST_F(Takeover, ReportsRoomBeforeFirstOffer) {
+  const auto renewals = TakeOver(true);
+  EXPECT_EQ(LoadOf(state).free_slots, 0U);
+  AnswerRenewal(renewals[0], {}, {});
+  EXPECT_EQ(LoadOf(state).free_slots, 1U);
+  AnswerRenewal(renewals[1], {{.task = {JobName{9}, 0}, .attempt = 1}}, {});
+  EXPECT_EQ(LoadOf(state).free_slots, 1U);
+}
+
 class ResubmittedJob : public Takeover {
  protected:
   auto MakeResubmission() -> JobOffer {
