--- a/bench/replay/bound.cc
+++ b/bench/replay/bound.cc
@@ -11,6 +11,9 @@
 // Amount of work below which it counts as none, in core-milliseconds.
 constexpr double kNegligibleWork = 1e-6;
 
+// Number of objectives that is longer than any caller waits.
+constexpr int kUntilCallerLeaves = 1000;
+
 // Work of a job in each slot of its window.
 struct PlannedJob {
   size_t first = 0;
@@ -242,6 +245,10 @@
   return out;
 }
 
+auto ServedBoundOf(const Workload& workload) -> Credits {
+  return FitInOrder(workload, ByDensity(workload), kUntilCallerLeaves);
+}
+
 auto MissedShare(const Workload& workload, const SimulationResult& result)
     -> double {
   std::vector<bool> served(workload.jobs.size());
--- a/bench/replay/bound.h
+++ b/bench/replay/bound.h
@@ -30,6 +30,10 @@
 // answers could add.
 auto BoundOf(const Workload& workload) -> Credits;
 
+// Returns the part of each job, 0 to 1, that a plan with full knowledge serves
+// before the caller leaves, when it adds the jobs by worth per work.
+auto ServedBoundOf(const Workload& workload) -> Credits;
+
 // Returns the share of the total credit that refused jobs would have earned in
 // a plan with full knowledge that serves them in time in addition to all jobs
 // that were served.
--- a/bench/replay/credit.h
+++ b/bench/replay/credit.h
@@ -3,6 +3,7 @@
 #ifndef BENCH_REPLAY_CREDIT_H_
 #define BENCH_REPLAY_CREDIT_H_
 
+#include <array>
 #include <vector>
 
 #include "bench/replay/simulation.h"
@@ -16,6 +17,14 @@
 // Credit that each job of a workload earned, from 0 to its worth.
 using Credits = std::vector<double>;
 
+// Shares of one kind of job by the size of its jobs (core-milliseconds).
+struct SizeShares {
+  double all = 1;
+  double largest = 1;               // of the largest tenth
+  double next_fifth = 1;            // of the fifth below the largest tenth
+  std::array<double, 10> tenths{};  // largest first
+};
+
 struct CreditShares {
   double total = 0;
   double worst_kind = 0;
@@ -26,11 +35,15 @@
   double mark = 0;          // weighted sum with the weights of the users
   std::vector<double> kinds;
   std::vector<double> zones;
-  double largest = 0;  // of the largest tenth of the longest kind
+  double largest = 0;             // of the largest tenth of the longest kind
+  std::vector<SizeShares> sizes;  // by kind
 };
 
 struct CreditSummary {
   CreditShares shares;
+  // Share of the jobs that were answered with success while their callers
+  // waited, by kind. For the bound: the share of their work that fits.
+  std::vector<SizeShares> served;
   double refused = 0;  // share of the counted jobs
   double late = 0;
   double lost = 0;          // neither answered in time, nor late, nor refused
@@ -46,6 +59,10 @@
 auto CreditsOf(const Workload& workload, const SimulationResult& result)
     -> Credits;
 auto SharesOf(const Workload& workload, const Credits& credits) -> CreditShares;
+// Returns the shares of jobs served, by kind and size. `served` holds the part
+// of each job that was served, 0 to 1.
+auto ServedSharesOf(const Workload& workload, const Credits& served)
+    -> std::vector<SizeShares>;
 auto SummarizeCredit(const Workload& workload, const SimulationResult& result)
     -> CreditSummary;
 
--- a/bench/replay/main.cc
+++ b/bench/replay/main.cc
@@ -61,6 +61,7 @@
                  size_t n) -> void {
   if (row.policy == "bound") {
     row.summaries[n].shares = SharesOf(workload, BoundOf(workload));
+    row.summaries[n].served = ServedSharesOf(workload, ServedBoundOf(workload));
     return;
   }
   ReplayOptions options;
@@ -126,6 +127,20 @@
     const auto zone = std::string("zone_").append(shape.zones[i].name);
     print(zone.c_str(), mean.shares.zones[i], "of owed");
   }
+  for (size_t i = 0; i < shape.kinds.size(); ++i) {
+    const auto& kind = shape.kinds[i].name;
+    const auto& served = mean.served[i];
+    print((kind + ".served").c_str(), served.all, "of jobs");
+    print((kind + ".served_largest").c_str(), served.largest, "of jobs");
+    print((kind + ".served_next_fifth").c_str(), served.next_fifth, "of jobs");
+    const auto& sizes = mean.shares.sizes[i];
+    print((kind + ".largest").c_str(), sizes.largest, "of owed");
+    print((kind + ".next_fifth").c_str(), sizes.next_fifth, "of owed");
+    for (size_t k = 0; k < sizes.tenths.size(); ++k) {
+      const auto name = kind + ".tenth_" + std::to_string(k + 1);
+      print(name.c_str(), sizes.tenths.at(k), "of owed");
+    }
+  }
   if (row.policy == "bound") {
     return;
   }
@@ -161,6 +176,11 @@
     for (const auto it : mean.kinds) {
       std::fprintf(stderr, " %.3f", it);
     }
+    std::fprintf(stderr, "  served, largest tenth, next fifth");
+    for (const auto& it : MeanOf(row.summaries).served) {
+      std::fprintf(stderr, " %.3f/%.3f/%.3f", it.all, it.largest,
+                   it.next_fifth);
+    }
     std::fprintf(stderr, "\n");
   }
 }
--- a/bench/replay/workload.h
+++ b/bench/replay/workload.h
@@ -17,8 +17,9 @@
 // Kind of job as described in the users' load descriptions.
 struct KindShape {
   std::string name;
-  double share = 0;  // relative frequency among the kinds
-  double worth = 0;  // worth of a mean job that ends in time
+  uint32_t priority = 0;  // of its route; 0 is the most important
+  double share = 0;       // relative frequency among the kinds
+  double worth = 0;       // worth of a mean job that ends in time
   double mean_width = 0;
   uint32_t max_width = 0;
   milliseconds mean_work{};  // mean work of a task on a worker of speed 1
--- a/tests/bench/replay/workload_test.cc
+++ b/tests/bench/replay/workload_test.cc
@@ -65,6 +65,25 @@
   EXPECT_EQ(slow, 8);  // 0.16 of 48
 }
 
+// Guards against kinds whose run times, priorities or rates differ from the
+// table of docs/hard-load.md: decisions would be measured on another load.
+TEST(DrawnWorkload, OfPrioritizedKindsMatchesItsDeployment) {
+  auto shape = ShapeOf("maps-high");
+  shape.bursts.clear();
+  shape.length = 4 * shape.wave_period;
+  const auto workload = DrawWorkload(shape, 1);
+  EXPECT_NEAR(static_cast<double>(workload.jobs.size()) / 52, 844, 25);
+  const auto tiles = CountBetween(workload, "tile-fetch", {}, shape.length);
+  EXPECT_NEAR(tiles / 52.0, 206, 15);
+  ASSERT_EQ(workload.workers.size(), 352U);
+  EXPECT_EQ(workload.workers[1].speed, 1.0);
+  EXPECT_EQ(workload.workers[2].speed, 1.6);
+  EXPECT_EQ(workload.workers[2].capacity.cpu_millis, 48'000);
+  EXPECT_EQ(shape.kinds[0].priority, 0U);
+  EXPECT_EQ(shape.kinds[1].priority, 2U);
+  EXPECT_EQ(shape.kinds[2].priority, 1U);
+}
+
 TEST(UnknownLoad, HasNoKinds) {
   EXPECT_TRUE(ShapeOf("no").kinds.empty());
 }
