Turn away the waiting jobs that cost callers least where routes have priorities

Cause: the priority of a route was read and decided nothing, and a job was refused after 22 % of its objective whatever was about to become free. Change: servers/scheduling/displacement orders the waiting jobs by the cost of turning them away (started jobs first, then kinds and largest jobs below a floor) and predicts their starts. From the first job of a group with a priority other than 0, a job may wait while it can still meet its objective and is refused at once when its predicted start is later. A job without a start is given up for one that comes before it; job_ended names that one (displaced_by), jobs_displaced counts them. Offers carry the priority (field 19; 0 from an older peer; a negative one makes the offer invalid). Groups without priorities keep the order and the wait that they had. Tests of policies name their rules in the field without_priorities, to which the order moved; what they check is unchanged.

--- a/bench/capacity/main.cc
+++ b/bench/capacity/main.cc
@@ -12,6 +12,7 @@
 #include "servers/dispatcher/operator_flow.h"
 #include "servers/fleet/pick.h"
 #include "servers/quota/team_quota.h"
+#include "servers/scheduling/waiting.h"
 
 namespace boragecroft::bench {
 namespace {
@@ -474,6 +475,53 @@
   PrintSlope(reporter, "dump_bytes_by_jobs", bytes, "bytes");
 }
 
+// Returns the holder of a full group: every worker has runs in progress, and
+// `waiting` jobs of two tasks wait for room.
+auto MakeFullGroup(size_t workers, size_t waiting) -> Scheduler {
+  Scheduler state;
+  state.has_priorities = true;
+  const auto now = kNow.boot;
+  for (size_t i = 0; i < workers; ++i) {
+    auto& worker = state.workers[NumberedName("worker", i)];
+    worker.fenced = true;
+    worker.entry.capacity = {.cpu_millis = 64'000, .memory_mb = 100'000};
+    for (uint64_t run = 0; run < 2; ++run) {
+      AddRun(worker, Run{.task = {.job = JobName{1'000'000 + 2 * i + run}},
+                         .resources = {.cpu_millis = 32'000, .memory_mb = 64},
+                         .ordered_at = now - milliseconds(i % 90),
+                         .expected = milliseconds(100 + i % 700)});
+    }
+  }
+  for (size_t i = 0; i < waiting; ++i) {
+    ScheduledJob job;
+    job.offer = {.name = JobName{i + 1},
+                 .kind = NumberedName("kind", i % 3),
+                 .count = 2,
+                 .needs = {.cpu_millis = 32'000, .memory_mb = 64},
+                 .run_estimate = milliseconds{170},
+                 .priority = static_cast<uint32_t>(i % 3)};
+    job.tasks.resize(2);
+    job.times.refuse_at = now + milliseconds(20 + i);
+    job.task_work = 5000;
+    job.floor = RecordOffered(state.floors, job.offer.kind, 10'000, now);
+    state.jobs.emplace(job.offer.name, job);
+  }
+  return state;
+}
+
+// Measures the decision which waiting jobs are turned away when one arrives.
+auto MeasureDisplacement(const Reporter& reporter) -> void {
+  std::vector<SizePoint> times;
+  for (const size_t waiting : {10, 50, 200}) {
+    auto state = MakeFullGroup(350, waiting);
+    times.push_back({static_cast<double>(waiting), MeasureTime(500, [&] {
+                       static_cast<void>(detail::JobsToTurnAway(
+                           state, JobName{1}, kNow.boot));
+                     })});
+  }
+  PrintSlope(reporter, "displacement_time_by_waiting_jobs", times, "us");
+}
+
 auto MeasureAll(const Reporter& reporter) -> void {
   PrintLoadAverage(reporter, "load_average_before");
   MeasureIds(reporter);
@@ -488,6 +536,7 @@
   MeasureQuotas(reporter);
   MeasureLedger(reporter);
   MeasureDump(reporter);
+  MeasureDisplacement(reporter);
 }
 
 }  // namespace
--- a/bench/replay/simulation.cc
+++ b/bench/replay/simulation.cc
@@ -324,7 +324,8 @@
       .slack_factor = 1.6,
       .max_attempts = kMaxAttempts,
       .remaining = milliseconds{1500} -
-                   std::chrono::duration_cast<milliseconds>(2 * kClientHop)};
+                   std::chrono::duration_cast<milliseconds>(2 * kClientHop),
+      .priority = simulation.workload.shape.kinds[job.kind].priority};
 }
 
 // Sends the caller's job, which reaches its instance one hop later.
--- a/main/entry/entry_instance.cc
+++ b/main/entry/entry_instance.cc
@@ -96,6 +96,7 @@
     sum.runs_expired += scheduler.counters.runs_expired;
     sum.runs_overdue += scheduler.counters.runs_overdue;
     sum.jobs_redirected += scheduler.counters.jobs_redirected;
+    sum.jobs_displaced += scheduler.counters.jobs_displaced;
     const auto of_group = LoadOf(scheduler);
     load.free_slots += of_group.free_slots;
     load.waiting += of_group.waiting;
@@ -106,6 +107,7 @@
   metrics.SetSize("runs_lapsed", static_cast<double>(sum.runs_expired));
   metrics.SetSize("runs_overdue", static_cast<double>(sum.runs_overdue));
   metrics.SetSize("jobs_passed_on", static_cast<double>(sum.jobs_redirected));
+  metrics.SetSize("jobs_displaced", static_cast<double>(sum.jobs_displaced));
   metrics.SetSize("free_places", load.free_slots);
   metrics.SetSize("tasks_waiting", load.waiting);
 }
--- a/main/entry/group_flow.cc
+++ b/main/entry/group_flow.cc
@@ -55,8 +55,12 @@
       !MayLog(budget, BootClock::now())) {
     return;
   }
+  const auto displaced_by = command.displaced_by
+                                ? platform::ToString(*command.displaced_by)
+                                : std::string();
   Log(LogLevel::kInfo, command.redirected ? "job_passed_on" : "job_ended",
       {{"job", platform::ToString(command.result.name)},
+       {"displaced_by", displaced_by},
        {"group", group},
        {"outcome", OutcomeName(command.result.outcome)},
        {"tasks", command.tasks},
--- a/peers/handover/gen/handover_types.cpp
+++ b/peers/handover/gen/handover_types.cpp
@@ -799,6 +799,10 @@
 void WireOffer::__set_at_once(const bool val) {
   this->at_once = val;
 }
+
+void WireOffer::__set_priority(const int32_t val) {
+  this->priority = val;
+}
 std::ostream& operator<<(std::ostream& out, const WireOffer& obj)
 {
   obj.printTo(out);
@@ -971,6 +975,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->priority);
+          this->__isset.priority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1060,6 +1072,10 @@
   xfer += oprot->writeBool(this->at_once);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 19);
+  xfer += oprot->writeI32(this->priority);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1085,6 +1101,7 @@
   swap(a.may_run_elsewhere, b.may_run_elsewhere);
   swap(a.group, b.group);
   swap(a.at_once, b.at_once);
+  swap(a.priority, b.priority);
   swap(a.__isset, b.__isset);
 }
 
@@ -1107,6 +1124,7 @@
   may_run_elsewhere = other22.may_run_elsewhere;
   group = other22.group;
   at_once = other22.at_once;
+  priority = other22.priority;
   __isset = other22.__isset;
 }
 WireOffer::WireOffer(WireOffer&& other23) noexcept {
@@ -1128,6 +1146,7 @@
   may_run_elsewhere = other23.may_run_elsewhere;
   group = std::move(other23.group);
   at_once = other23.at_once;
+  priority = other23.priority;
   __isset = other23.__isset;
 }
 WireOffer& WireOffer::operator=(const WireOffer& other24) {
@@ -1149,6 +1168,7 @@
   may_run_elsewhere = other24.may_run_elsewhere;
   group = other24.group;
   at_once = other24.at_once;
+  priority = other24.priority;
   __isset = other24.__isset;
   return *this;
 }
@@ -1171,6 +1191,7 @@
   may_run_elsewhere = other25.may_run_elsewhere;
   group = std::move(other25.group);
   at_once = other25.at_once;
+  priority = other25.priority;
   __isset = other25.__isset;
   return *this;
 }
@@ -1195,6 +1216,7 @@
   out << ", " << "may_run_elsewhere=" << to_string(may_run_elsewhere);
   out << ", " << "group=" << to_string(group);
   out << ", " << "at_once=" << to_string(at_once);
+  out << ", " << "priority=" << to_string(priority);
   out << ")";
 }
 
--- a/peers/handover/gen/handover_types.h
+++ b/peers/handover/gen/handover_types.h
@@ -323,7 +323,7 @@
 std::ostream& operator<<(std::ostream& out, const WireHeartbeat& obj);
 
 typedef struct _WireOffer__isset {
-  _WireOffer__isset() : job(false), spec(false), kind(false), service_name(false), count(false), cpu_millis(false), memory_mb(false), accelerators(false), run_estimate_ms(false), target_ms(false), slack_factor(false), max_attempts(false), age_ms(false), remaining_ms(false), submission(false), may_run_elsewhere(false), group(false), at_once(false) {}
+  _WireOffer__isset() : job(false), spec(false), kind(false), service_name(false), count(false), cpu_millis(false), memory_mb(false), accelerators(false), run_estimate_ms(false), target_ms(false), slack_factor(false), max_attempts(false), age_ms(false), remaining_ms(false), submission(false), may_run_elsewhere(false), group(false), at_once(false), priority(false) {}
   bool job :1;
   bool spec :1;
   bool kind :1;
@@ -342,6 +342,7 @@
   bool may_run_elsewhere :1;
   bool group :1;
   bool at_once :1;
+  bool priority :1;
 } _WireOffer__isset;
 
 class WireOffer : public virtual ::apache::thrift::TBase {
@@ -369,7 +370,8 @@
               submission(0),
               may_run_elsewhere(0),
               group(),
-              at_once(0) {
+              at_once(0),
+              priority(0) {
   }
 
   virtual ~WireOffer() noexcept;
@@ -391,6 +393,7 @@
   bool may_run_elsewhere;
   std::string group;
   bool at_once;
+  int32_t priority;
 
   _WireOffer__isset __isset;
 
@@ -430,6 +433,8 @@
 
   void __set_at_once(const bool val);
 
+  void __set_priority(const int32_t val);
+
   bool operator == (const WireOffer & rhs) const
   {
     if (!(job == rhs.job))
@@ -468,6 +473,8 @@
       return false;
     if (!(at_once == rhs.at_once))
       return false;
+    if (!(priority == rhs.priority))
+      return false;
     return true;
   }
   bool operator != (const WireOffer &rhs) const {
--- a/peers/handover/handover.thrift
+++ b/peers/handover/handover.thrift
@@ -52,6 +52,7 @@
   16: bool may_run_elsewhere
   17: string group
   18: bool at_once
+  19: i32 priority
 }
 
 struct WireCancel {
--- a/peers/handover/handover_codec.cc
+++ b/peers/handover/handover_codec.cc
@@ -35,7 +35,7 @@
   constexpr int32_t kMaxTasks = 1'000'000;
   constexpr int64_t kMaxTimeMs = 1'000'000'000;
   return IsWithin(in.count, kMaxTasks) && in.submission >= 0 &&
-         in.max_attempts >= 0 &&
+         in.max_attempts >= 0 && in.priority >= 0 &&
          IsWithin(in.cpu_millis, kMaxResources.cpu_millis) &&
          IsWithin(in.memory_mb, kMaxResources.memory_mb) &&
          IsWithin(in.accelerators, kMaxResources.accelerators) &&
@@ -133,6 +133,7 @@
   offer.submission = static_cast<int32_t>(from.submission);
   offer.may_run_elsewhere = from.may_run_elsewhere;
   offer.at_once = from.immediate_only;
+  offer.priority = static_cast<int32_t>(from.priority);
   offer.group = it.group;
   out.__set_offer(offer);
 }
@@ -246,6 +247,7 @@
   offer.submission = static_cast<uint32_t>(in.submission);
   offer.may_run_elsewhere = in.may_run_elsewhere;
   offer.immediate_only = in.at_once;
+  offer.priority = static_cast<uint32_t>(in.priority);
   return out;
 }
 
--- a/servers/scheduling/dispatching.cc
+++ b/servers/scheduling/dispatching.cc
@@ -29,6 +29,7 @@
   ++job.uncertain;
   ++state.counters.starts;
   RecordUsage(state, job.offer.kind, RunTimeOf(state, job), now);
+  RecordStarted(state.floors, job.floor, job.task_work, now);
   // Beside a run that must end, the lease that was granted before is used.
   const auto lease =
       HasRunToEnd(worker) ? worker.leased_until : NextLease(worker, now);
@@ -37,7 +38,8 @@
                      .attempt = task.attempt,
                      .resources = job.offer.needs,
                      .state = RunState::kOrdered,
-                     .ordered_at = now});
+                     .ordered_at = now,
+                     .expected = ExpectedOn(state, job, worker)});
   out.push_back(StartCommand{.target = TargetOf(state, worker),
                              .task = name,
                              .attempt = task.attempt,
@@ -127,6 +129,14 @@
                          job.offer.run_estimate);
 }
 
+auto ExpectedOn(const Scheduler& state,
+                const ScheduledJob& job,
+                const WorkerAccount& worker) -> microseconds {
+  const auto work = static_cast<double>(RunTimeOf(state, job).count());
+  return microseconds(
+      static_cast<int64_t>(work / SpeedOf(state.run_times, worker.entry)));
+}
+
 static auto RequestFor(const Scheduler& state,
                        const ScheduledJob& job,
                        const std::string& avoid) -> PlacementRequest {
--- a/servers/scheduling/dispatching.h
+++ b/servers/scheduling/dispatching.h
@@ -45,6 +45,10 @@
             SchedulerCommands& out) -> void;
 // Returns the run time to expect of one task of the job on a worker of speed 1.
 auto RunTimeOf(const Scheduler& state, const ScheduledJob& job) -> microseconds;
+// Returns the run time to expect of one task of the job on the worker.
+auto ExpectedOn(const Scheduler& state,
+                const ScheduledJob& job,
+                const WorkerAccount& worker) -> microseconds;
 // Returns the worker for one task of the job, or null when no worker has free
 // resources for it now. `avoid` is the worker on which the last attempt failed;
 // it may be empty.
--- a/servers/scheduling/job.h
+++ b/servers/scheduling/job.h
@@ -72,6 +72,7 @@
   // Set when the group must refuse the job immediately unless all its tasks can
   // start now.
   bool immediate_only = false;
+  uint32_t priority = 0;  // of the route; 0 is the most important
 };
 
 enum class JobOutcome : uint8_t {
--- a/servers/scheduling/job_events.cc
+++ b/servers/scheduling/job_events.cc
@@ -5,6 +5,7 @@
 
 #include "servers/scheduling/dispatching.h"
 #include "servers/scheduling/scheduler.h"
+#include "servers/scheduling/waiting.h"
 
 namespace boragecroft {
 namespace {
@@ -40,8 +41,10 @@
   ScheduledJob job;
   const auto run_time =
       ExpectedRunTime(state.run_times, offer.kind, offer.run_estimate);
-  job.times = PlanTimes(offer, run_time, now);
+  job.times = PlanTimes(offer, run_time, detail::RulesOf(state).waiting, now);
   job.offered_at = now;
+  job.task_work = std::chrono::duration<double, std::milli>(run_time).count() *
+                  static_cast<double>(offer.needs.cpu_millis) / 1000;
   job.origin = origin;
   job.spec = std::make_shared<const std::string>(std::move(offer.spec));
   job.tasks.resize(offer.count);
@@ -82,6 +85,20 @@
   detail::EndJob(state, job, outcome, now, out);
 }
 
+// Refuses the waiting jobs that would start too late after a job has arrived.
+auto TurnAwayLateJobs(Scheduler& state,
+                      JobName arrived,
+                      Instant now,
+                      SchedulerCommands& out) -> void {
+  for (const auto& it : detail::JobsToTurnAway(state, arrived, now)) {
+    GiveUp(state, state.jobs.at(it.job), now, out);
+    if (it.displaced_by) {
+      ++state.counters.jobs_displaced;
+      std::get<ResultCommand>(out.back()).displaced_by = it.displaced_by;
+    }
+  }
+}
+
 // Returns the time at which the job is given up unless it changes before.
 auto GiveUpAt(const ScheduledJob& job) -> Instant {
   auto at = job.uncertain == 0 ? job.times.refuse_at : job.times.stop_at;
@@ -116,6 +133,7 @@
     return;
   }
   UpdateTypicalNeeds(state, offer);
+  state.has_priorities = state.has_priorities || offer.priority > 0;
   const auto name = offer.name;
   auto job = MakeJob(state, origin, std::move(offer), now);
   // A job that may still run elsewhere must not be reported as not run.
@@ -132,7 +150,11 @@
     GiveUp(state, accepted, now, out);
     return;
   }
+  accepted.floor =
+      RecordOffered(state.floors, accepted.offer.kind,
+                    accepted.task_work * accepted.offer.count, now);
   detail::StartWaitingTasks(state, now, out);
+  TurnAwayLateJobs(state, name, now, out);
 }
 
 auto OnCancel(Scheduler& state,
--- a/servers/scheduling/objective.cc
+++ b/servers/scheduling/objective.cc
@@ -17,8 +17,10 @@
 
 }  // namespace
 
-auto PlanTimes(const JobOffer& offer, microseconds run_time, Instant now)
-    -> JobTimes {
+auto PlanTimes(const JobOffer& offer,
+               microseconds run_time,
+               WaitingTime waiting,
+               Instant now) -> JobTimes {
   const auto objective =
       std::chrono::duration_cast<microseconds>(run_time * offer.slack_factor) +
       microseconds(offer.target);
@@ -31,6 +33,9 @@
   const auto latest_stop = now + offer.remaining - kStopLead;
   times.stop_at =
       std::min(latest_stop, times.arrived + objective * kMaxUsefulObjectives);
+  if (waiting == WaitingTime::kPredictedStart) {
+    times.refuse_at = std::max(times.refuse_at, times.objective - run_time);
+  }
   times.refuse_at = std::min(times.refuse_at, times.stop_at);
   return times;
 }
--- a/servers/scheduling/objective.h
+++ b/servers/scheduling/objective.h
@@ -10,6 +10,7 @@
 
 #include "core/base/clock.h"
 #include "servers/scheduling/job.h"
+#include "servers/scheduling/policy.h"
 
 namespace boragecroft {
 
@@ -21,9 +22,13 @@
 };
 
 // Computes the times of a job that reaches the scheduler at `now`. `run_time`
-// is the expected run time of its longest task on a worker of speed 1.
-auto PlanTimes(const JobOffer& offer, microseconds run_time, Instant now)
-    -> JobTimes;
+// is the expected run time of its longest task on a worker of speed 1. With
+// kPredictedStart, a job may wait until it could no longer meet its objective
+// on such a worker, and at least as long as with kShareOfObjective.
+auto PlanTimes(const JobOffer& offer,
+               microseconds run_time,
+               WaitingTime waiting,
+               Instant now) -> JobTimes;
 
 }  // namespace boragecroft
 
--- a/servers/scheduling/run_watch.cc
+++ b/servers/scheduling/run_watch.cc
@@ -21,14 +21,6 @@
 // ms.
 constexpr milliseconds kMoveTime{55};
 
-auto ExpectedOn(const Scheduler& state,
-                const ScheduledJob& job,
-                const WorkerAccount& worker) -> microseconds {
-  const auto work = static_cast<double>(RunTimeOf(state, job).count());
-  return microseconds(
-      static_cast<int64_t>(work / SpeedOf(state.run_times, worker.entry)));
-}
-
 // Reports whether the ended tasks of the job show that the run ends after its
 // caller has left, or so shortly before that it probably does.
 auto WillEndTooLate(const ScheduledJob& job,
--- a/servers/scheduling/scheduler.h
+++ b/servers/scheduling/scheduler.h
@@ -16,6 +16,7 @@
 #include <variant>
 #include <vector>
 
+#include "servers/scheduling/displacement.h"
 #include "servers/scheduling/job.h"
 #include "servers/scheduling/objective.h"
 #include "servers/scheduling/placement.h"
@@ -66,6 +67,8 @@
   // Set when the job was refused only because not all its tasks could start
   // immediately: its origin asks the next group.
   bool redirected = false;
+  // Set when the job was refused for this other one, which needs the room.
+  std::optional<JobName> displaced_by;
   // Progress of the job, for the log.
   uint32_t tasks = 0;
   uint32_t done = 0;
@@ -123,6 +126,9 @@
   // none has. The tasks of one job differ far less than declared run times are
   // off.
   microseconds observed_run_time{};
+  // Core-milliseconds of one task at speed 1, as expected when it was offered.
+  double task_work = 0;
+  FloorShare floor;
   bool ended = false;   // its result has been sent; its runs are being stopped
   Instant orphaned_at;  // when its origin was lost; zero while it is connected
 };
@@ -134,6 +140,7 @@
   uint64_t jobs_refused = 0;
   uint64_t jobs_redirected = 0;  // not all tasks could start immediately: the
                                  // origin asks another group
+  uint64_t jobs_displaced = 0;  // refused for another job; also in jobs_refused
   uint64_t jobs_stopped = 0;
   uint64_t starts = 0;
   uint64_t stops = 0;
@@ -169,6 +176,8 @@
   Resources typical_needs{.cpu_millis = 1000};  // of a task, from recent offers
   std::string typical_service;
   std::unordered_map<std::string, KindUsage> kind_usage;
+  Floors floors;
+  bool has_priorities = false;  // set once a job had a priority other than 0
   SchedulerCounters counters;
 };
 
@@ -196,6 +205,8 @@
                     Instant now,
                     SchedulerCommands& out) -> void;
 
+// Handles an offered job: it starts, waits or is refused. A waiting job that
+// has started no task may be refused for it.
 auto OnOffer(Scheduler& state,
              OriginId origin,
              JobOffer offer,
--- a/servers/scheduling/waiting.cc
+++ b/servers/scheduling/waiting.cc
@@ -20,7 +20,7 @@
 constexpr milliseconds kUsageHalfLife{1500};
 
 // Sort key of a waiting job; the smallest is started first.
-using Rank = std::tuple<double, Instant, JobName>;
+using Rank = std::tuple<int, double, Instant, JobName>;
 
 auto Milliseconds(microseconds time) -> double {
   return std::chrono::duration<double, std::milli>(time).count();
@@ -44,23 +44,58 @@
   return worth / (Milliseconds(RunTimeOf(state, job)) * job.offer.count);
 }
 
+auto WaitingTasksOf(const ScheduledJob& job) -> size_t {
+  return job.tasks.size() - job.done - job.in_progress;
+}
+
+auto CoresOf(const Resources& needs, size_t tasks) -> double {
+  return static_cast<double>(needs.cpu_millis) * static_cast<double>(tasks) /
+         1000;
+}
+
+auto CostOf(const ScheduledJob& job) -> double {
+  return CostOfTurningAway(
+      job.offer.priority,
+      job.task_work * static_cast<double>(WaitingTasksOf(job)));
+}
+
+// Returns the class of a waiting job: 0 has started tasks, 1 is below its
+// floor, 2 is any other.
+auto ClassOf(const Scheduler& state, const ScheduledJob& job, Instant now)
+    -> int {
+  if (job.uncertain > 0) {
+    return 0;
+  }
+  return IsBelowFloor(state.floors, job.floor, now) ? 1 : 2;
+}
+
 auto RankOf(const Scheduler& state, const ScheduledJob& job, Instant now)
     -> Rank {
   const auto& name = job.offer.name;
-  switch (state.policy.order) {
+  switch (RulesOf(state).order) {
     case WaitingOrder::kArrival:
-      return {0, job.times.arrived, name};
+      return {0, 0, job.times.arrived, name};
     case WaitingOrder::kLeastSlack:
-      return {0, job.times.objective - RunTimeOf(state, job), name};
+      return {0, 0, job.times.objective - RunTimeOf(state, job), name};
     case WaitingOrder::kDensity:
-      return {-DensityOf(state, job), job.times.refuse_at, name};
+      return {0, -DensityOf(state, job), job.times.refuse_at, name};
     case WaitingOrder::kFair:
-      return {DecayedUsageOf(state, job.offer.kind, now), job.times.refuse_at,
+      return {0, DecayedUsageOf(state, job.offer.kind, now),
+              job.times.refuse_at, name};
+    case WaitingOrder::kPriority:
+      return {job.uncertain == 0 ? 1 : 0,
+              static_cast<double>(job.offer.priority), job.times.refuse_at,
               name};
+    case WaitingOrder::kPriorityFloors:
+      return {ClassOf(state, job, now), static_cast<double>(job.offer.priority),
+              job.times.refuse_at, name};
+    case WaitingOrder::kLeastCost:
+      return {ClassOf(state, job, now), job.uncertain > 0 ? 0 : -CostOf(job),
+              job.times.refuse_at, name};
     case WaitingOrder::kUrgent:
       break;
   }
-  return {job.uncertain == 0 ? 1 : 0, job.times.refuse_at, name};
+  return {job.uncertain == 0 ? 1 : 0, 0, job.times.refuse_at, name};
 }
 
 auto HasWaitingTasks(const ScheduledJob& job) -> bool {
@@ -84,8 +119,43 @@
       });
 }
 
+auto ForecastOf(const Scheduler& state, Instant now) -> RoomForecast {
+  RoomForecast forecast;
+  for (const auto& [id, worker] : state.workers) {
+    if (!worker.listed || !worker.reachable) {
+      continue;
+    }
+    for (const auto& run : worker.runs) {
+      AddRelease(forecast, CoresOf(run.resources, 1),
+                 std::chrono::duration_cast<microseconds>(now - run.ordered_at),
+                 run.expected);
+    }
+  }
+  return forecast;
+}
+
+auto ClaimsOf(const Scheduler& state,
+              const std::vector<ScheduledJob*>& jobs,
+              Instant now) -> std::vector<WaitingClaim> {
+  std::vector<WaitingClaim> out;
+  out.reserve(jobs.size());
+  for (const auto* job : jobs) {
+    out.push_back({.cores = CoresOf(job->offer.needs, WaitingTasksOf(*job)),
+                   .run_time = RunTimeOf(state, *job),
+                   .start_within = std::chrono::duration_cast<microseconds>(
+                       job->times.refuse_at - now),
+                   .keep = job->uncertain > 0 || job->offer.may_run_elsewhere});
+  }
+  return out;
+}
+
 }  // namespace
 
+auto RulesOf(const Scheduler& state) -> const WaitingRules& {
+  return state.has_priorities ? state.policy.with_priorities
+                              : state.policy.without_priorities;
+}
+
 auto WaitingJobs(Scheduler& state, Instant now) -> std::vector<ScheduledJob*> {
   std::vector<std::pair<Rank, ScheduledJob*>> ranked;
   const auto fence_complete = IsFenceComplete(state);
@@ -105,11 +175,36 @@
   return out;
 }
 
+auto JobsToTurnAway(Scheduler& state, JobName arrived, Instant now)
+    -> std::vector<TurnedAway> {
+  const auto jobs = WaitingJobs(state, now);
+  if (jobs.empty() || RulesOf(state).waiting != WaitingTime::kPredictedStart) {
+    return {};
+  }
+  const auto forecast = ForecastOf(state, now);
+  const auto claims = ClaimsOf(state, jobs, now);
+  const auto starts = PredictStarts(forecast, claims);
+  std::vector<TurnedAway> out;
+  auto is_behind = false;
+  for (size_t i = 0; i < jobs.size(); ++i) {
+    const auto& name = jobs[i]->offer.name;
+    const auto too_late = !claims[i].keep && starts[i] > claims[i].start_within;
+    if (too_late) {
+      out.push_back(
+          {.job = name,
+           .displaced_by = is_behind ? std::optional(arrived) : std::nullopt});
+    } else if (name == arrived) {
+      is_behind = true;
+    }
+  }
+  return out;
+}
+
 auto RecordUsage(Scheduler& state,
                  const std::string& kind,
                  microseconds time,
                  Instant now) -> void {
-  if (state.policy.order != WaitingOrder::kFair) {
+  if (RulesOf(state).order != WaitingOrder::kFair) {
     return;
   }
   const auto before = DecayedUsageOf(state, kind, now);
--- a/servers/scheduling/worker.h
+++ b/servers/scheduling/worker.h
@@ -48,6 +48,7 @@
   bool overdue = false;    // set once it has run far longer than expected
   bool job_ended = false;  // set when its job has ended without it
   Instant ordered_at;
+  microseconds expected{};  // run time expected on this worker
   Instant settled_at;  // time of the answer to the last order about the run
   // Number of stop orders without an answer since the worker last answered
   // after too many of them.
--- a/tests/peers/handover/handover_codec_test.cc
+++ b/tests/peers/handover/handover_codec_test.cc
@@ -32,7 +32,8 @@
                            .remaining = milliseconds{1500},
                            .submission = 2,
                            .may_run_elsewhere = true,
-                           .immediate_only = true};
+                           .immediate_only = true,
+                           .priority = 2};
   const auto read = std::get<OfferMessage>(RoundTrip(message));
   EXPECT_EQ(read.group, message.group);
   EXPECT_EQ(read.offer.name, message.offer.name);
@@ -41,6 +42,7 @@
   EXPECT_EQ(read.offer.submission, 2);
   EXPECT_TRUE(read.offer.may_run_elsewhere);
   EXPECT_TRUE(read.offer.immediate_only);
+  EXPECT_EQ(read.offer.priority, 2);
 }
 
 TEST(HandoverCodecTest, CancelRequestAndReplySurviveRoundTrip) {
@@ -94,6 +96,11 @@
     }
     *amount = 1;
   }
+  // Guards against a negative priority, which would count as the least one.
+  offer.priority = std::numeric_limits<uint32_t>::max();
+  EXPECT_FALSE(is_read(offer));
+  offer.priority = 1'000'000;
+  EXPECT_TRUE(is_read(offer));
   offer.count = 2'000'000'000;
   EXPECT_FALSE(is_read(offer));
 }
--- a/tests/servers/scheduling/policy_test.cc
+++ b/tests/servers/scheduling/policy_test.cc
@@ -36,22 +36,29 @@
 }
 
 TEST_F(AlternativeOrder, StartsEarliestArrivalFirst) {
-  EXPECT_EQ(FirstStartUnder({.order = WaitingOrder::kArrival}), JobName{3});
+  EXPECT_EQ(FirstStartUnder(
+                {.without_priorities = {.order = WaitingOrder::kArrival}}),
+            JobName{3});
 }
 
 TEST_F(AlternativeOrder, StartsLeastSlackFirst) {
-  EXPECT_EQ(FirstStartUnder({.order = WaitingOrder::kLeastSlack}), JobName{2});
+  EXPECT_EQ(FirstStartUnder(
+                {.without_priorities = {.order = WaitingOrder::kLeastSlack}}),
+            JobName{2});
 }
 
 TEST_F(AlternativeOrder, StartsHighestWorthDensityFirst) {
-  EXPECT_EQ(FirstStartUnder({.order = WaitingOrder::kDensity,
-                             .worth = {{"demand", 20}, {"reminder", 1}}}),
-            JobName{3});
+  EXPECT_EQ(
+      FirstStartUnder({.without_priorities = {.order = WaitingOrder::kDensity},
+                       .worth = {{"demand", 20}, {"reminder", 1}}}),
+      JobName{3});
 }
 
 TEST_F(AlternativeOrder, StartsKindWithLeastUsageFirst) {
   // Job 1 was of the same kind as job 2.
-  EXPECT_EQ(FirstStartUnder({.order = WaitingOrder::kFair}), JobName{3});
+  EXPECT_EQ(
+      FirstStartUnder({.without_priorities = {.order = WaitingOrder::kFair}}),
+      JobName{3});
 }
 
 class AlternativePlacement : public SchedulerFixture {
