Merge load shedding by priority, deadline and work

Cause: the priority of a route decided nothing, and waits were a fixed share of the objective. Change: displacement orders waiting jobs by what turning them away costs callers, and refuses at once a job whose predicted start is too late.

--- a/peers/handover/gen/handover_types.cpp
+++ b/peers/handover/gen/handover_types.cpp
@@ -988,6 +988,10 @@
 void WireOffer::__set_at_once(const bool val) {
   this->at_once = val;
 }
+
+void WireOffer::__set_priority(const int32_t val) {
+  this->priority = val;
+}
 std::ostream& operator<<(std::ostream& out, const WireOffer& obj)
 {
   obj.printTo(out);
@@ -1160,6 +1164,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->priority);
+          this->__isset.priority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1249,6 +1261,10 @@
   xfer += oprot->writeBool(this->at_once);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 19);
+  xfer += oprot->writeI32(this->priority);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1274,6 +1290,7 @@
   swap(a.may_run_elsewhere, b.may_run_elsewhere);
   swap(a.group, b.group);
   swap(a.at_once, b.at_once);
+  swap(a.priority, b.priority);
   swap(a.__isset, b.__isset);
 }
 
@@ -1296,6 +1313,7 @@
   may_run_elsewhere = other32.may_run_elsewhere;
   group = other32.group;
   at_once = other32.at_once;
+  priority = other32.priority;
   __isset = other32.__isset;
 }
 WireOffer::WireOffer(WireOffer&& other33) noexcept {
@@ -1317,6 +1335,7 @@
   may_run_elsewhere = other33.may_run_elsewhere;
   group = std::move(other33.group);
   at_once = other33.at_once;
+  priority = other33.priority;
   __isset = other33.__isset;
 }
 WireOffer& WireOffer::operator=(const WireOffer& other34) {
@@ -1338,6 +1357,7 @@
   may_run_elsewhere = other34.may_run_elsewhere;
   group = other34.group;
   at_once = other34.at_once;
+  priority = other34.priority;
   __isset = other34.__isset;
   return *this;
 }
@@ -1360,6 +1380,7 @@
   may_run_elsewhere = other35.may_run_elsewhere;
   group = std::move(other35.group);
   at_once = other35.at_once;
+  priority = other35.priority;
   __isset = other35.__isset;
   return *this;
 }
@@ -1384,6 +1405,7 @@
   out << ", " << "may_run_elsewhere=" << to_string(may_run_elsewhere);
   out << ", " << "group=" << to_string(group);
   out << ", " << "at_once=" << to_string(at_once);
+  out << ", " << "priority=" << to_string(priority);
   out << ")";
 }
 
--- a/servers/scheduling/job_events.cc
+++ b/servers/scheduling/job_events.cc
@@ -5,6 +5,7 @@
 
 #include "servers/scheduling/dispatching.h"
 #include "servers/scheduling/scheduler.h"
+#include "servers/scheduling/waiting.h"
 
 namespace boragecroft {
 namespace {
@@ -12,6 +13,9 @@
 // Time for which the jobs of a lost origin continue, so that it can reconnect
 // and hand them over again.
 constexpr milliseconds kOriginGrace{200};
+// Time after which a holder that has got no offer in its term reports idle
+// workers as room. Under load the first offer comes within milliseconds.
+constexpr milliseconds kFirstOfferWait{1000};
 // Weight of a new offer in the moving average of the needs of a task, in
 // percent.
 constexpr int64_t kTypicalNeedsWeightPercent = 5;
@@ -23,6 +27,7 @@
   typical.memory_mb = offer.needs.memory_mb;
   typical.accelerators = offer.needs.accelerators;
   state.typical_service = offer.service;
+  state.awaits_first_offer = false;
 }
 
 // Assigns a job that was handed over before, on this or another connection, to
@@ -40,8 +45,10 @@
   ScheduledJob job;
   const auto run_time =
       ExpectedRunTime(state.run_times, offer.kind, offer.run_estimate);
-  job.times = PlanTimes(offer, run_time, now);
+  job.times = PlanTimes(offer, run_time, detail::RulesOf(state).waiting, now);
   job.offered_at = now;
+  job.task_work = std::chrono::duration<double, std::milli>(run_time).count() *
+                  static_cast<double>(offer.needs.cpu_millis) / 1000;
   job.origin = origin;
   job.spec = std::make_shared<const std::string>(std::move(offer.spec));
   job.tasks.resize(offer.count);
@@ -68,6 +75,20 @@
   detail::EndJob(state, job, outcome, now, out);
 }
 
+// Refuses the waiting jobs that would start too late after a job has arrived.
+auto TurnAwayLateJobs(Scheduler& state,
+                      JobName arrived,
+                      Instant now,
+                      SchedulerCommands& out) -> void {
+  for (const auto& it : detail::JobsToTurnAway(state, arrived, now)) {
+    GiveUp(state, state.jobs.at(it.job), now, out);
+    if (it.displaced_by) {
+      ++state.counters.jobs_displaced;
+      std::get<ResultCommand>(out.back()).displaced_by = it.displaced_by;
+    }
+  }
+}
+
 // Returns the time at which the job is given up unless it changes before.
 auto GiveUpAt(const ScheduledJob& job) -> Instant {
   auto at = job.uncertain == 0 ? job.times.refuse_at : job.times.stop_at;
@@ -107,6 +128,7 @@
     return;
   }
   UpdateTypicalNeeds(state, offer);
+  state.has_priorities = state.has_priorities || offer.priority > 0;
   const auto name = offer.name;
   auto job = MakeJob(state, origin, std::move(offer), now);
   // A job that may still run elsewhere must not be reported as not run.
@@ -123,7 +145,11 @@
     GiveUp(state, accepted, now, out);
     return;
   }
+  accepted.floor =
+      RecordOffered(state.floors, accepted.offer.kind,
+                    accepted.task_work * accepted.offer.count, now);
   detail::StartWaitingTasks(state, now, out);
+  TurnAwayLateJobs(state, name, now, out);
 }
 
 auto OnCancel(Scheduler& state,
@@ -160,6 +186,8 @@
 }
 
 auto OnTime(Scheduler& state, Instant now, SchedulerCommands& out) -> void {
+  state.awaits_first_offer =
+      state.typical_service.empty() && now - state.since >= kFirstOfferWait;
   std::vector<JobName> due;
   for (const auto& [name, job] : state.jobs) {
     if (!job.ended && GiveUpAt(job) <= now) {
@@ -210,12 +238,12 @@
   return next;
 }
 
-// Returns the free slots to report. The size of a task is not known before the
-// first offer of a term. One slot for each idle worker is reported until then:
-// a group without free slots gets no jobs while another one has some, so it
-// would never get its first offer.
+// Returns the free slots to report. Before the first offer of a term the size
+// of a task is not known, and one slot for each idle worker is reported once
+// no offer has come for a while: a group without free slots gets no jobs while
+// another one has some, so it would never get its first offer.
 static auto FreeSlotsOf(const Scheduler& state) -> FreeSlots {
-  if (state.typical_service.empty()) {
+  if (state.awaits_first_offer) {
     const auto idle = CountIdleWorkers(state.workers);
     return {.all = idle, .fast = idle};
   }
--- a/tests/servers/scheduling/term_test.cc
+++ b/tests/servers/scheduling/term_test.cc
@@ -38,11 +38,16 @@
 // has room: its holder reported no free slots until its first offer.
 TEST_F(Takeover, ReportsRoomBeforeFirstOffer) {
   const auto renewals = TakeOver(true);
+  now += seconds{1};
+  OnTime(state, now, out);
   EXPECT_EQ(LoadOf(state).free_slots, 0U);
   AnswerRenewal(renewals[0], {}, {});
   EXPECT_EQ(LoadOf(state).free_slots, 1U);
   AnswerRenewal(renewals[1], {{.task = {JobName{9}, 0}, .attempt = 1}}, {});
   EXPECT_EQ(LoadOf(state).free_slots, 1U);
+  Offer(MakeOffer(1, 2));
+  OnTime(state, now, out);
+  EXPECT_FALSE(state.awaits_first_offer);
 }
 
 class ResubmittedJob : public Takeover {
