Start slowly on workers that may be cold

Cause: workers of a zone that comes back from an evacuation, or that are added cold, got full load at once at the speed that they had before. Most of their tasks ended late, and their run times spoiled the estimates of their kind and of the kinds of job.

Change: servers/scheduling/warm_up. From StartWarmUp(), or while its row says cold_left_ms > 0, a worker gets one task at a time at the mean speed of its kind until a run shows that it is warm; those runs enter no estimate but its own. Nothing calls StartWarmUp() yet.

--- a/main/entry/group_flow.cc
+++ b/main/entry/group_flow.cc
@@ -198,12 +198,14 @@
   RefreshGroupView(state, group);
 }
 
-auto OnWorkerReport(EntryState& state, const WorkerEntry& entry) -> void {
+auto OnWorkerReport(EntryState& state, WorkerEntry entry) -> void {
+  const auto now = BootClock::now();
   state.departed_at.erase(entry.id);
   if (!state.directory.contains(entry.id)) {
-    state.group_changed_at[GroupOf(entry)] = BootClock::now();
+    state.group_changed_at[GroupOf(entry)] = now;
   }
   auto& known = state.directory[entry.id];
+  SetColdUntil(entry, &known, now);
   if (known == entry) {
     return;
   }
@@ -213,7 +215,7 @@
     return;
   }
   SchedulerCommands commands;
-  OnWorkerEntry(it->second, entry, BootClock::now(), commands);
+  OnWorkerEntry(it->second, entry, now, commands);
   RunSchedulerCommands(state, it->first, commands);
 }
 
--- a/main/entry/group_flow.h
+++ b/main/entry/group_flow.h
@@ -27,7 +27,7 @@
 auto EndGroup(EntryState& state, const std::string& group) -> void;
 
 // Handles a worker's report that came from the store or from a peer.
-auto OnWorkerReport(EntryState& state, const WorkerEntry& entry) -> void;
+auto OnWorkerReport(EntryState& state, WorkerEntry entry) -> void;
 // Handles the removal of a worker's row from the store. The worker is kept
 // until RemoveDepartedWorkers finds its grace period over.
 auto OnWorkerReportRemoved(EntryState& state, const std::string& id) -> void;
--- a/servers/scheduling/dispatching.cc
+++ b/servers/scheduling/dispatching.cc
@@ -179,6 +179,7 @@
 
 auto StartWaitingTasks(Scheduler& state, Instant now, SchedulerCommands& out)
     -> void {
+  ForgetColdSpeeds(state, now);
   for (auto* job : WaitingJobs(state, now)) {
     StartTasks(state, *job, now, out);
   }
--- a/servers/scheduling/job_events.cc
+++ b/servers/scheduling/job_events.cc
@@ -203,6 +203,9 @@
     }
   }
   for (const auto& [id, worker] : state.workers) {
+    if (worker.warm_up && !worker.warm_up->expects_warm) {
+      consider(worker.warm_up->cold_until);
+    }
     if (worker.reachable || !worker.listed) {
       continue;
     }
--- a/servers/scheduling/placement.cc
+++ b/servers/scheduling/placement.cc
@@ -133,7 +133,8 @@
   int64_t capacity = 0;
   int64_t used = 0;
   for (const auto& [id, worker] : workers) {
-    if (IsUsable(worker, service) &&
+    // A worker that warms up has no capacity to spare.
+    if (IsUsable(worker, service) && !worker.warm_up &&
         SpeedOf(times, worker.entry) >= fastest * kNearFastestSpeedShare) {
       capacity += worker.entry.capacity.cpu_millis;
       used += worker.used.cpu_millis;
@@ -159,14 +160,32 @@
       std::min<int64_t>(slots, std::numeric_limits<uint32_t>::max()));
 }
 
+// Returns how many tasks with these needs the worker can take beside those that
+// it has: at most one altogether while it warms up.
+auto CountFreeSlotsOf(const WorkerAccount& worker, const Resources& needs)
+    -> uint32_t {
+  const auto n = CountSlotsBeside(worker.entry.capacity, worker.used, needs);
+  if (!worker.warm_up) {
+    return n;
+  }
+  // A trial placement adds to `used` without a run, and a run of an earlier
+  // holder is a run whose resources are unknown.
+  const auto idle = worker.runs.empty() && worker.used == Resources();
+  return idle ? std::min(n, 1U) : 0;
+}
+
+auto HasRoom(const WorkerAccount& worker, const Resources& needs) -> bool {
+  return Fits(worker.entry.capacity, worker.used, needs) &&
+         (!worker.warm_up || CountFreeSlotsOf(worker, needs) > 0);
+}
+
 // Applies the placement rules that consider free capacity only. They exist for
 // comparison.
 auto PlaceByFreeCapacity(WorkerAccounts& workers,
                          const PlacementRequest& request) -> WorkerAccount* {
   std::vector<WorkerAccount*> candidates;
   for (auto& [id, worker] : workers) {
-    if (IsUsable(worker, request.service) &&
-        Fits(worker.entry.capacity, worker.used, request.needs)) {
+    if (IsUsable(worker, request.service) && HasRoom(worker, request.needs)) {
       candidates.push_back(&worker);
     }
   }
@@ -227,8 +246,7 @@
   WorkerAccount* best = nullptr;
   Preference best_preference;
   for (auto& [id, worker] : workers) {
-    if (!IsUsable(worker, request.service) ||
-        !Fits(worker.entry.capacity, worker.used, request.needs)) {
+    if (!IsUsable(worker, request.service) || !HasRoom(worker, request.needs)) {
       continue;
     }
     const auto preference = Prefer(worker, times, request, prefer_fast, now);
@@ -275,7 +293,7 @@
     if (!IsUsable(worker, service) || needs.cpu_millis <= 0) {
       continue;
     }
-    const auto n = CountSlotsBeside(worker.entry.capacity, worker.used, needs);
+    const auto n = CountFreeSlotsOf(worker, needs);
     slots.all += n;
     slots.fast +=
         SpeedOf(times, worker.entry) >= fastest * kNearFastestSpeedShare ? n
@@ -290,7 +308,9 @@
   uint32_t slots = 0;
   for (const auto& [id, worker] : workers) {
     if (IsUsable(worker, service) && needs.cpu_millis > 0) {
-      slots += CountSlotsBeside(worker.entry.capacity, Resources(), needs);
+      const auto n =
+          CountSlotsBeside(worker.entry.capacity, Resources(), needs);
+      slots += worker.warm_up ? std::min(n, 1U) : n;
     }
   }
   return slots;
--- a/servers/scheduling/placement.h
+++ b/servers/scheduling/placement.h
@@ -37,6 +37,9 @@
 // Reports whether the worker may receive start orders for tasks of `service`.
 auto IsUsable(const WorkerAccount& worker, const std::string& service) -> bool;
 
+// A worker that warms up has room for one task at a time in all of the
+// functions below.
+
 // Returns the worker for a task, or null when no usable worker has free
 // resources for it or the task should wait for a faster one.
 auto PlaceTask(WorkerAccounts& workers,
--- a/servers/scheduling/run_times.cc
+++ b/servers/scheduling/run_times.cc
@@ -129,6 +129,22 @@
   AddObservation(times.worker_kinds[worker.kind], ratio, kKindWeight);
 }
 
+auto RecordWorkerRunTime(RunTimes& times,
+                         const WorkerEntry& worker,
+                         microseconds work,
+                         microseconds run_time) -> void {
+  AddObservation(HistoryOf(times, worker),
+                 Logarithm(run_time) - Logarithm(work), kWorkerWeight);
+}
+
+auto SetSpeedFromRun(RunTimes& times,
+                     const WorkerEntry& worker,
+                     microseconds work,
+                     microseconds run_time) -> void {
+  times.workers[worker.id] = {.value = Logarithm(run_time) - Logarithm(work),
+                              .observations = 1};
+}
+
 auto RecordOverdue(RunTimes& times, const WorkerEntry& worker) -> void {
   AddObservation(HistoryOf(times, worker), kOverdueLogRatio, kOverdueWeight);
 }
@@ -153,6 +169,10 @@
   if (own != times.workers.end()) {
     return std::exp(-own->second.value);
   }
+  return SpeedOfKind(times, worker);
+}
+
+auto SpeedOfKind(const RunTimes& times, const WorkerEntry& worker) -> double {
   const auto* kind = FindWorkerKind(times, worker);
   return kind == nullptr ? 1.0 : std::exp(-kind->value);
 }
--- a/servers/scheduling/run_times.h
+++ b/servers/scheduling/run_times.h
@@ -47,6 +47,17 @@
                    const WorkerEntry& worker,
                    microseconds declared,
                    microseconds run_time) -> void;
+// The same for the worker alone: neither its kind nor the kind of job learns
+// from the run. `work` is the run time to expect on a worker of speed 1.
+auto RecordWorkerRunTime(RunTimes& times,
+                         const WorkerEntry& worker,
+                         microseconds work,
+                         microseconds run_time) -> void;
+// Replaces what is known of the worker by a single run of it.
+auto SetSpeedFromRun(RunTimes& times,
+                     const WorkerEntry& worker,
+                     microseconds work,
+                     microseconds run_time) -> void;
 // Records a run that has not ended after a multiple of its expected time.
 auto RecordOverdue(RunTimes& times, const WorkerEntry& worker) -> void;
 // Removes the history of a worker that left or restarted.
@@ -60,6 +71,8 @@
 // unknown, 2 is twice as fast. A worker without history has the mean speed of
 // its kind.
 auto SpeedOf(const RunTimes& times, const WorkerEntry& worker) -> double;
+// Returns the mean speed of the workers of this one's kind; 1 when unknown.
+auto SpeedOfKind(const RunTimes& times, const WorkerEntry& worker) -> double;
 
 }  // namespace boragecroft
 
--- a/servers/scheduling/run_watch.cc
+++ b/servers/scheduling/run_watch.cc
@@ -41,7 +41,7 @@
 }  // namespace
 
 auto RecordFinishedRun(Scheduler& state,
-                       const WorkerAccount& worker,
+                       WorkerAccount& worker,
                        const Run& run,
                        Instant now) -> void {
   const auto it = state.jobs.find(run.task.job);
@@ -51,6 +51,11 @@
   auto& job = it->second;
   const auto run_time =
       std::chrono::duration_cast<microseconds>(now - run.ordered_at);
+  if (worker.warm_up) {
+    RecordRunWhileWarmingUp(state, worker, run.ordered_at, run_time,
+                            RunTimeOf(state, job));
+    return;
+  }
   const auto speed = SpeedOf(state.run_times, worker.entry);
   job.observed_run_time = std::max(
       job.observed_run_time,
--- a/servers/scheduling/run_watch.h
+++ b/servers/scheduling/run_watch.h
@@ -12,9 +12,10 @@
 
 namespace boragecroft::detail {
 
-// Records the run time of a run that ended as done.
+// Records the run time of a run that ended as done. On a worker that warms up,
+// the run may end the warm-up and enters no estimate of other workers or jobs.
 auto RecordFinishedRun(Scheduler& state,
-                       const WorkerAccount& worker,
+                       WorkerAccount& worker,
                        const Run& run,
                        Instant now) -> void;
 // Stops the worker's runs that should be restarted on another worker.
--- a/servers/scheduling/worker.h
+++ b/servers/scheduling/worker.h
@@ -15,6 +15,7 @@
 #include "core/base/address.h"
 #include "core/base/clock.h"
 #include "servers/scheduling/job.h"
+#include "servers/scheduling/warm_up.h"
 
 namespace boragecroft {
 
@@ -28,6 +29,8 @@
   bool draining = false;
   Resources capacity;
   milliseconds started_at{};  // start of this incarnation, since 1970
+  milliseconds cold_left{};   // slow for this much longer, from the row's read
+  Instant cold_until;         // SetColdUntil(); zero: the row says no such time
 
   auto operator==(const WorkerEntry&) const -> bool = default;
 };
@@ -95,6 +98,7 @@
   std::optional<milliseconds> clock;
   Instant clock_read_at;
   milliseconds leased_until{};  // on the worker's clock: the longest lease sent
+  std::optional<WarmUp> warm_up;  // empty: takes full load
   bool renewal_in_flight = false;
   uint32_t unanswered_renewals = 0;  // consecutive renewals without an answer
   Instant next_renewal;  // when unreachable: earliest time of the next renewal
--- a/servers/scheduling/worker_events.cc
+++ b/servers/scheduling/worker_events.cc
@@ -67,6 +67,7 @@
     it.settled_at = Instant();
   }
   worker.entry.started_at = started_at;
+  detail::UpdateWarmUpAtRestart(worker, now);
   worker.fenced = false;
   worker.ended_seen = 0;
   worker.ended_acked = 0;
@@ -164,6 +165,7 @@
                    SchedulerCommands& out) -> void {
   auto [it, is_new] = state.workers.try_emplace(entry.id);
   auto& worker = it->second;
+  const auto before = worker.entry;
   if (is_new) {
     worker.entry = entry;
     worker.clock_read_at = now;
@@ -174,6 +176,7 @@
     return;
   }
   worker.entry = entry;
+  detail::UpdateWarmUp(state, worker, is_new ? nullptr : &before, now);
   worker.listed = true;
   detail::RenewIfNeeded(state, worker, now, out);
   detail::StartWaitingTasks(state, now, out);
--- a/tests/platform/odd_rows_test.cc
+++ b/tests/platform/odd_rows_test.cc
@@ -46,6 +46,30 @@
   }
 }
 
+// Guards against a worker that is lost because of its cold time, which only
+// says how it is paced, and against one that is paced for ever.
+TEST(OddWorkerEntry, IsKeptWhateverItsColdTimeSays) {
+  const auto cold_ms = [](const std::string& text) -> int64_t {
+    auto row = EntryWith("10.0.0.9:80", "16000");
+    row.insert(1, R"("cold_left_ms":)" + text + ",");
+    const auto entry = DecodeWorker("w", row);
+    return entry.has_value() ? entry.value().cold_left.count() : -1;
+  };
+  const auto without = DecodeWorker("w", EntryWith("10.0.0.9:80", "16000"));
+  EXPECT_EQ(without.value().cold_left, milliseconds{0});
+  EXPECT_EQ(cold_ms("0"), 0);
+  EXPECT_EQ(cold_ms("3000"), 3000);
+  EXPECT_EQ(cold_ms("2999.7"), 2999);
+  EXPECT_EQ(cold_ms("-1"), 0);
+  EXPECT_EQ(cold_ms("-9223372036854775808"), 0);
+  EXPECT_EQ(cold_ms("60001"), 60'000);
+  EXPECT_EQ(cold_ms("9223372036854775807"), 60'000);
+  EXPECT_EQ(cold_ms("1e300"), 60'000);
+  for (const auto* text : {"null", "true", R"("3000")", "[3000]", "{}"}) {
+    EXPECT_EQ(cold_ms(text), 0) << text;
+  }
+}
+
 TEST(OddWorkerEntry, LeavesOtherRowsOfItsPage) {
   const auto page = DecodeRowPage(
       R"({"rows":[{"key":"a","value":")" + EncodeBase64(Nested(100'000)) +
--- a/tests/servers/scheduling/virtual_workers.cc
+++ b/tests/servers/scheduling/virtual_workers.cc
@@ -231,6 +231,9 @@
 auto VirtualFleet::Send(size_t /*holder*/, const ResultCommand& command)
     -> void {
   result_.done += command.result.outcome == JobOutcome::kDone ? 1 : 0;
+  if (on_result_) {
+    on_result_(command);
+  }
 }
 
 auto VirtualFleet::Send(size_t holder, const FencedCommand& /*command*/)
@@ -261,7 +264,7 @@
     return OrderAnswer::kStaleAttempt;
   }
   const auto stalled = faults_.stalled > 0 && Draw(100) < faults_.stalled;
-  const auto run_time = stalled ? kStalled : milliseconds(30 + Draw(600));
+  const auto run_time = stalled ? kStalled : RunTimeOf(worker, order.task);
   worker.runs.push_back(VirtualRun{
       .task = order.task, .attempt = order.attempt, .ends = now_ + run_time});
   ++result_.starts;
@@ -269,6 +272,14 @@
   return OrderAnswer::kAccepted;
 }
 
+auto VirtualFleet::RunTimeOf(const VirtualWorker& worker, TaskName task)
+    -> milliseconds {
+  if (!run_times_) {
+    return milliseconds(30 + Draw(600));
+  }
+  return run_times_(static_cast<size_t>(&worker - workers_.data()), task);
+}
+
 auto VirtualFleet::Stop(const StopCommand& order) -> OrderAnswer {
   auto& worker = FindWorker(order.target.worker);
   if (order.target.token < worker.token) {
--- a/tests/servers/scheduling/virtual_workers.h
+++ b/tests/servers/scheduling/virtual_workers.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "servers/scheduling/scheduler.h"
@@ -59,6 +60,9 @@
   bool alive = true;
 };
 
+// Returns the run time of a task that starts now on the worker of this index.
+using RunTimeRule = std::function<milliseconds(size_t worker, TaskName task)>;
+
 class VirtualFleet {
  public:
   VirtualFleet(uint64_t seed, VirtualFaults faults, size_t workers);
@@ -73,6 +77,12 @@
   // to another availability zone after 1.3 s, so its runs must have ended then.
   auto Withdraw(VirtualHolder& holder, JobName job) -> void;
   auto RestartWorker(size_t index) -> void;
+  // Replaces the run times that are drawn.
+  auto SetRunTimes(RunTimeRule rule) -> void { run_times_ = std::move(rule); }
+  // Calls `listener` for each result of a holder.
+  auto OnResult(std::function<void(const ResultCommand&)> listener) -> void {
+    on_result_ = std::move(listener);
+  }
   auto Draw(int bound) -> int;
 
   auto Now() const -> Instant { return now_; }
@@ -94,6 +104,7 @@
                const std::function<OrderAnswer()>& carry_out,
                const std::function<void(OrderAnswer)>& answer) -> void;
   auto Start(const StartCommand& order) -> OrderAnswer;
+  auto RunTimeOf(const VirtualWorker& worker, TaskName task) -> milliseconds;
   auto Stop(const StopCommand& order) -> OrderAnswer;
   auto Renew(size_t holder, const RenewCommand& order, Instant sent) -> void;
   auto Report(const VirtualWorker& worker) const -> RunReport;
@@ -111,6 +122,8 @@
   std::multimap<Instant, std::function<void()>> event_queue_;
   std::map<JobName, Instant> withdrawn_at_;
   VirtualResult result_;
+  RunTimeRule run_times_;  // empty: drawn
+  std::function<void(const ResultCommand&)> on_result_;
 };
 
 }  // namespace boragecroft
