--- a/main/entry/entry_state.h
+++ b/main/entry/entry_state.h
@@ -64,6 +64,8 @@
   RoutesRefresh routes_refresh;
   std::string routes_document;  // as received from the store or a peer
   Evacuations evacuations;
+  // When this instance learned that the evacuation of a zone had ended.
+  std::map<std::string, Instant> evacuation_ended_at;
   std::map<std::string, WorkerEntry> directory;
   // When the row of each departed worker was removed from the store.
   std::map<std::string, Instant> departed_at;
--- a/main/entry/evacuation_flow.cc
+++ b/main/entry/evacuation_flow.cc
@@ -66,6 +66,9 @@
          {"version", record.version},
          {"source", SourceName(source)}});
   }
+  if (!record.active) {
+    state.evacuation_ended_at[record.zone] = BootClock::now();
+  }
   // Before the held group: jobs that it gives back must not return to it.
   RefreshEvacuatedGroups(state);
   ApplyToHeldGroup(state, record.zone);
--- a/main/entry/group_flow.cc
+++ b/main/entry/group_flow.cc
@@ -196,6 +196,11 @@
   ApplyEvacuationToTerm(state, group, commands);
   BeginTerm(state.schedulers[group], token * kTokensPerTerm, workers, stable,
             now, commands);
+  const auto ended = state.evacuation_ended_at.find(group);
+  if (ended != state.evacuation_ended_at.end() &&
+      now - ended->second < kReturnWarmUp) {
+    StartWarmUp(state.schedulers[group], now);
+  }
   RunSchedulerCommands(state, group, commands);
   RefreshGroupView(state, group);
 }
@@ -207,12 +212,14 @@
   RefreshGroupView(state, group);
 }
 
-auto OnWorkerReport(EntryState& state, const WorkerEntry& entry) -> void {
+auto OnWorkerReport(EntryState& state, WorkerEntry entry) -> void {
+  const auto now = BootClock::now();
   state.departed_at.erase(entry.id);
   if (!state.directory.contains(entry.id)) {
-    state.group_changed_at[GroupOf(entry)] = BootClock::now();
+    state.group_changed_at[GroupOf(entry)] = now;
   }
   auto& known = state.directory[entry.id];
+  SetColdUntil(entry, &known, now);
   if (known == entry) {
     return;
   }
@@ -222,7 +229,7 @@
     return;
   }
   SchedulerCommands commands;
-  OnWorkerEntry(it->second, entry, BootClock::now(), commands);
+  OnWorkerEntry(it->second, entry, now, commands);
   RunSchedulerCommands(state, it->first, commands);
 }
 
--- a/servers/scheduling/dispatching.cc
+++ b/servers/scheduling/dispatching.cc
@@ -190,6 +190,7 @@
 auto StartWaitingTasks(Scheduler& state, Instant now, SchedulerCommands& out)
     -> void {
   WithholdStarts(state, now, out);
+  ForgetColdSpeeds(state, now);
   for (auto* job : WaitingJobs(state, now)) {
     StartTasks(state, *job, now, out);
   }
--- a/servers/scheduling/evacuation.cc
+++ b/servers/scheduling/evacuation.cc
@@ -3,6 +3,7 @@
 
 #include "servers/scheduling/dispatching.h"
 #include "servers/scheduling/scheduler.h"
+#include "servers/scheduling/warm_up.h"
 
 namespace boragecroft {
 namespace detail {
@@ -110,6 +111,7 @@
     return;
   }
   state.evacuated_since.reset();
+  StartWarmUp(state, now);
   detail::StartWaitingTasks(state, now, out);
 }
 
--- a/servers/scheduling/scheduler.h
+++ b/servers/scheduling/scheduler.h
@@ -268,7 +268,8 @@
 // start their other tasks within the grace period; one that still needs a start
 // after it is stopped. Runs in progress end normally.
 auto OnEvacuated(Scheduler& state, Instant now, SchedulerCommands& out) -> void;
-// Handles that the evacuation of the group has ended.
+// Handles that the evacuation of the group has ended. Its workers may have
+// become cold and start slowly.
 auto OnEvacuationEnded(Scheduler& state, Instant now, SchedulerCommands& out)
     -> void;
 
--- a/tests/servers/scheduling/virtual_workers.h
+++ b/tests/servers/scheduling/virtual_workers.h
@@ -10,6 +10,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "servers/scheduling/scheduler.h"
@@ -60,6 +61,9 @@
   bool alive = true;
 };
 
+// Returns the run time of a task that starts now on the worker of this index.
+using RunTimeRule = std::function<milliseconds(size_t worker, TaskName task)>;
+
 class VirtualFleet {
  public:
   VirtualFleet(uint64_t seed, VirtualFaults faults, size_t workers);
@@ -77,6 +81,12 @@
   // Evacuates the group at all holders, those that follow included.
   auto Evacuate() -> void;
   auto EndEvacuation() -> void;
+  // Replaces the run times that are drawn.
+  auto SetRunTimes(RunTimeRule rule) -> void { run_times_ = std::move(rule); }
+  // Calls `listener` for each result of a holder.
+  auto OnResult(std::function<void(const ResultCommand&)> listener) -> void {
+    on_result_ = std::move(listener);
+  }
   auto Draw(int bound) -> int;
 
   auto Now() const -> Instant { return now_; }
@@ -98,6 +108,7 @@
                const std::function<OrderAnswer()>& carry_out,
                const std::function<void(OrderAnswer)>& answer) -> void;
   auto Start(const StartCommand& order) -> OrderAnswer;
+  auto RunTimeOf(const VirtualWorker& worker, TaskName task) -> milliseconds;
   auto Stop(const StopCommand& order) -> OrderAnswer;
   auto Renew(size_t holder, const RenewCommand& order, Instant sent) -> void;
   auto Report(const VirtualWorker& worker) const -> RunReport;
@@ -118,6 +129,8 @@
   std::optional<Instant> evacuated_since_;
   std::set<JobName> given_back_;  // jobs that were answered as not run
   VirtualResult result_;
+  RunTimeRule run_times_;  // empty: drawn
+  std::function<void(const ResultCommand&)> on_result_;
 };
 
 }  // namespace boragecroft
