--- a/tests/lab/child_process.cc
+++ b/tests/lab/child_process.cc
@@ -120,4 +120,16 @@
   return {};
 }
 
+auto WithDescriptorLimit(std::vector<std::string> command, int max_descriptors)
+    -> std::vector<std::string> {
+  if (max_descriptors == 0) {
+    return command;
+  }
+  const std::vector<std::string> shell = {
+      "/bin/sh", "-c",
+      "ulimit -n " + std::to_string(max_descriptors) + "; exec \"$0\" \"$@\""};
+  command.insert(command.begin(), shell.begin(), shell.end());
+  return command;
+}
+
 }  // namespace boragecroft::lab
--- a/tests/lab/child_process.h
+++ b/tests/lab/child_process.h
@@ -44,6 +44,11 @@
   std::string output_file_;
 };
 
+// Returns `command` so that it runs with a limit of open descriptors, as the
+// same process. 0: the limit of this process.
+auto WithDescriptorLimit(std::vector<std::string> command, int max_descriptors)
+    -> std::vector<std::string>;
+
 }  // namespace boragecroft::lab
 
 #endif  // TESTS_LAB_CHILD_PROCESS_H_
--- a/tests/lab/cluster.cc
+++ b/tests/lab/cluster.cc
@@ -354,8 +354,9 @@
       instance, options_.deployment, platform_addresses_.at(instance.zone),
       seeds, options_.extra_settings);
   instance.process = std::make_unique<ChildProcess>(
-      std::vector<std::string>{Program("boragecroftd"), "--settings",
-                               base + ".json"},
+      WithDescriptorLimit(
+          {Program("boragecroftd"), "--settings", base + ".json"},
+          options_.max_descriptors),
       base + "-" + std::to_string(++instance.starts) + ".log");
   const auto line = RequireStartLine(
       instance.process->WaitForLine("\"listening\"", kStartTimeout),
--- a/tests/lab/cluster.h
+++ b/tests/lab/cluster.h
@@ -26,6 +26,7 @@
   // "\"dead_after_ms\": 2000".
   std::string extra_settings;
   std::string declarations_file;  // empty: the deployment's file
+  int max_descriptors = 0;        // of each daemon; 0: as this process
   // Whether instances of different zones connect through the link stand-in.
   bool links = false;
   // Whether the folder with the logs of all processes is kept at the end.
--- a/tests/lab/platform_fleet.cc
+++ b/tests/lab/platform_fleet.cc
@@ -63,8 +63,9 @@
 PlatformFleet::PlatformFleet(const std::vector<std::string>& zones,
                              int instances_per_zone,
                              int workers_per_zone,
-                             FleetNetwork network)
-    : folder_(MakeFolder()), zones_(zones) {
+                             FleetNetwork network,
+                             int max_descriptors)
+    : folder_(MakeFolder()), zones_(zones), max_descriptors_(max_descriptors) {
   if (network == FleetNetwork::kRelayed) {
     network_ = std::make_unique<PartitionedNetwork>();
   }
@@ -113,7 +114,8 @@
   }
   out << "listen.frontend=127.0.0.1:0\nlisten.readiness=127.0.0.1:0\n"
       << "listen.control=127.0.0.1:0\nplatform.addr="
-      << ToString(instance.store) << "\nlimits.max_fds=2048\n";
+      << ToString(instance.store) << "\nlimits.max_fds=" << max_descriptors_
+      << "\n";
   out.close();
   std::vector<std::string> command = {kProgram, "--settings", settings,
                                       "--metrics-port", "0"};
@@ -122,7 +124,8 @@
                    {"--advertise", ToString(*instance.advertised)});
   }
   instance.process = std::make_unique<ChildProcess>(
-      command, folder_ + "/" + instance.name + "-" + number + ".log");
+      WithDescriptorLimit(command, max_descriptors_),
+      folder_ + "/" + instance.name + "-" + number + ".log");
   const auto line =
       instance.process->WaitForLine("\"event\":\"started\"", kStartTimeout);
   if (line.empty()) {
@@ -133,6 +136,7 @@
     network_->SetTarget(*instance.advertised,
                         Loopback(started.at("instances").to_number<int64_t>()));
   }
+  instance.instances = Loopback(started.at("instances").to_number<int64_t>());
   instance.callers = Loopback(started.at("callers").to_number<int64_t>());
   instance.readiness = Loopback(started.at("readiness").to_number<int64_t>());
   instance.metrics = Loopback(started.at("metrics").to_number<int64_t>());
--- a/tests/lab/platform_fleet.h
+++ b/tests/lab/platform_fleet.h
@@ -22,6 +22,7 @@
   Address callers;
   Address readiness;
   Address metrics;
+  Address instances;
   int starts = 0;  // numbers the log files; each process has its own
   Address store;   // where it reaches the store
   std::optional<Address> advertised;
@@ -44,10 +45,13 @@
  public:
   // Starts the stand-in and, in each zone, the instances "ZONE-1", "ZONE-2" and
   // so on. Throws std::runtime_error when a process does not start.
+  // `max_descriptors` is each instance's limit of open descriptors, in its
+  // settings and by the system.
   PlatformFleet(const std::vector<std::string>& zones,
                 int instances_per_zone,
                 int workers_per_zone,
-                FleetNetwork network = FleetNetwork::kDirect);
+                FleetNetwork network = FleetNetwork::kDirect,
+                int max_descriptors = 2048);
   ~PlatformFleet();
   PlatformFleet(const PlatformFleet&) = delete;
   auto operator=(const PlatformFleet&) -> PlatformFleet& = delete;
@@ -81,6 +85,7 @@
   Address store_;
   Address control_;
   std::vector<std::string> zones_;
+  int max_descriptors_;
   std::unique_ptr<ChildProcess> standin_;
   std::unique_ptr<PartitionedNetwork> network_;  // null: direct connections
   std::vector<EntryProcess> instances_;
