--- a/core/http/http_connection.cc
+++ b/core/http/http_connection.cc
@@ -9,6 +9,8 @@
 #include <optional>
 #include <utility>
 
+#include "core/http/request_budget.h"
+
 namespace boragecroft {
 
 namespace asio = boost::asio;
@@ -43,6 +45,8 @@
     body_timeout_ = body_timeout;
   }
 
+  auto SetMaxBodyBytes(size_t bytes) -> void { max_body_bytes_ = bytes; }
+
   auto IsBusy() const -> bool { return done_ != nullptr; }
 
   auto IsReusable() -> bool {
@@ -119,11 +123,14 @@
 
   auto Read() -> void {
     parser_.emplace();
-    parser_->body_limit(kMaxResponseBytes);
+    parser_->body_limit(max_body_bytes_);
+    progress_ = {};
     http::async_read_header(
         stream_, buffer_, *parser_,
-        [self = shared_from_this()](boost::system::error_code ec, size_t) {
+        [self = shared_from_this()](boost::system::error_code ec, size_t n) {
           self->parser_->eager(true);
+          self->progress_.head_complete = true;
+          self->progress_.head = n;
           self->OnPart(ec);
         });
   }
@@ -135,6 +142,13 @@
       Fail(closed ? HttpError::Kind::kClosed : HttpError::Kind::kProtocol, ec);
       return;
     }
+    progress_.body = parser_->get().body().size();
+    if (CheckRequestSize({.max_head_bytes = kMaxHeadBytes,
+                          .max_body_bytes = max_body_bytes_},
+                         progress_)) {
+      Fail(HttpError::Kind::kProtocol, http::error::buffer_overflow);
+      return;
+    }
     if (parser_->is_done()) {
       Complete();
       return;
@@ -142,11 +156,12 @@
     if (body_timeout_ > milliseconds{0}) {
       stream_.expires_after(body_timeout_);
     }
-    http::async_read_some(
-        stream_, buffer_, *parser_,
-        [self = shared_from_this()](boost::system::error_code result, size_t) {
-          self->OnPart(result);
-        });
+    http::async_read_some(stream_, buffer_, *parser_,
+                          [self = shared_from_this()](
+                              boost::system::error_code result, size_t n) {
+                            self->progress_.after_head += n;
+                            self->OnPart(result);
+                          });
   }
 
   auto Complete() -> void {
@@ -182,10 +197,16 @@
   }
 
   static constexpr size_t kMaxResponseBytes = 64U << 20U;
+  // A header, and as much for chunk sizes, extensions and trailers.
+  static constexpr size_t kMaxHeadBytes = 8192;
+  // A chunk line or trailers without end stay in the buffer, so it is bounded.
+  static constexpr size_t kMaxBufferBytes = 65536;
 
   beast::tcp_stream stream_;
   const Address peer_;
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{kMaxBufferBytes};
+  RequestProgress progress_;  // of the response
+  size_t max_body_bytes_ = kMaxResponseBytes;
   http::request<http::string_body> request_;
   std::optional<http::response_parser<http::string_body>> parser_;
   HttpCompletion done_;
@@ -223,6 +244,10 @@
   state_->SetBodyTimeout(body_timeout);
 }
 
+auto HttpConnection::SetMaxBodyBytes(size_t bytes) -> void {
+  state_->SetMaxBodyBytes(bytes);
+}
+
 auto HttpConnection::IsReusable() const -> bool {
   return state_->IsReusable();
 }
--- a/core/http/http_connection.h
+++ b/core/http/http_connection.h
@@ -51,6 +51,9 @@
   // its header has; the answer timeout then covers the header only. For large
   // bodies on slow links. Without it, the answer timeout covers the body, too.
   auto SetBodyTimeout(milliseconds body_timeout) -> void;
+  // Sets the limit of a response's body, which is 64 MB without it. A longer
+  // response is a protocol error.
+  auto SetMaxBodyBytes(size_t bytes) -> void;
   // Reports whether the connection is open, has no request in progress, and the
   // peer has neither closed it nor sent unrequested data.
   auto IsReusable() const -> bool;
--- a/tests/core/http/http_test.cc
+++ b/tests/core/http/http_test.cc
@@ -330,6 +330,51 @@
   EXPECT_EQ(Receive(milliseconds{2000}), "xxxxxx");
 }
 
+// Guards against a worker, store or peer that makes this process read without
+// end: the answer fails and the connection is closed.
+TEST(HttpConnectionLimits, EndResponsesWithoutEnd) {
+  using tcp = asio::ip::tcp;
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string line(1000, 'x');
+  for (const auto& [opening, repeated] :
+       {std::pair(chunked + "0\r\n", "T: " + line + "\r\n"),
+        std::pair(chunked + "1;a=", line),
+        std::pair(chunked, "1;a=" + line + "\r\nx\r\n"),
+        std::pair(std::string("HTTP/1.1 200 OK\r\n"), "T: " + line + "\r\n"),
+        std::pair(std::string("HTTP/1.1 200 OK\r\n\r\n"), line)}) {
+    asio::io_context context;
+    tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
+    auto cut_off = false;
+    std::thread peer([&, opening = opening, repeated = repeated] {
+      auto socket = acceptor.accept();
+      boost::system::error_code ec;
+      asio::write(socket, asio::buffer(opening), ec);
+      for (auto i = 0; i < 20000 && !ec; ++i) {
+        asio::write(socket, asio::buffer(repeated), ec);
+      }
+      cut_off = bool(ec);
+    });
+    HttpConnection connection(
+        context, {.ip = "127.0.0.1", .port = acceptor.local_endpoint().port()});
+    connection.SetMaxBodyBytes(10000);
+    connection.SetBodyTimeout(kTimeout);
+    std::optional<HttpError> error;
+    connection.Send({.method = "GET", .target = "/", .headers = {}, .body = {}},
+                    kTimeout, kTimeout, [&](auto result) {
+                      if (result.has_error()) {
+                        error = result.error();
+                      }
+                    });
+    context.run();
+    peer.join();
+    ASSERT_TRUE(error) << opening;
+    EXPECT_TRUE(cut_off) << opening;
+    EXPECT_EQ(error->kind, HttpError::Kind::kProtocol) << error->reason;
+    EXPECT_FALSE(connection.IsReusable());
+  }
+}
+
 TEST_F(SlowBody, IsGivenUpAtAnswerTimeoutByDefault) {
   EXPECT_EQ(Receive(milliseconds{0}), "late");
 }
