Write both settings of a test's processes

Cause: the last merge joined the descriptors' limit and the bound of an evacuation in one broken string, so tests/lab did not compile. Change: the two lines are written one after the other. Result: the tree builds.

--- a/tests/lab/platform_fleet.cc
+++ b/tests/lab/platform_fleet.cc
@@ -117,12 +117,9 @@
   }
   out << "listen.frontend=127.0.0.1:0\nlisten.readiness=127.0.0.1:0\n"
       << "listen.control=127.0.0.1:0\nplatform.addr="
-      << ToString(instance.store)
-      << "
-         limits.max_fds = " << max_descriptors_
-                          << "
-                             bounds.evacuate_ms = 5000 ";
-                                                  out.close();
+      << ToString(instance.store) << "\nlimits.max_fds=" << max_descriptors_
+      << "\nbounds.evacuate_ms=5000\n";
+  out.close();
   std::vector<std::string> command = {kProgram, "--settings", settings,
                                       "--metrics-port", "0"};
   if (instance.advertised) {
