Add the distribution of the run time that a job still needs

Cause: decisions about refusal and stop compare one expected run time with the time left. Change: servers/estimates/run_time_distribution (pure): the chance of an end within a limit, also after some time has passed; the slowest of several tasks; the time at which a chance falls below a bound, in closed form; and the combination with what ended tasks of the same job took. servers/scheduling/run_times learns by kind the squared error of its expected run times (0.4 until 30 tasks have ended) and the variance among the tasks of one job (0.15 until 10 jobs with several ended tasks). Exceptional jobs keep the 0.4 of their declaration and do not count in the learned error. No decision uses it yet.

--- a/servers/scheduling/run_times.cc
+++ b/servers/scheduling/run_times.cc
@@ -16,6 +16,17 @@
 constexpr double kOverdueLogRatio = 1.1;
 constexpr double kOverdueWeight = 0.5;
 constexpr uint32_t kMaxObservations = 1000;
+// Weight of a task in the mean square of the error, and of a job in the
+// variance among tasks. It is less than kKindWeight: the tasks of one job share
+// most of their error, so that a few jobs would decide.
+constexpr double kErrorWeight = 0.005;
+// Deviations that are expected until enough has been observed.
+constexpr double kFirstDeviation = 0.4;
+constexpr double kFirstDeviationAmongTasks = 0.15;
+constexpr uint32_t kMinErrorObservations = 30;
+constexpr uint32_t kMinJobsCompared = 10;
+// Lower bound of a learned deviation. Messages alone cause as much.
+constexpr double kMinDeviation = 0.03;
 // Lower bound of run times before their logarithm is taken; a declared run time
 // of 0 carries no information.
 constexpr microseconds kMinRunTime{1000};
@@ -80,6 +91,18 @@
   return line.mean_run + SlopeOf(line) * usual + exceptional;
 }
 
+// Records the error of the expected run time before the run itself is learned
+// from. Exceptional jobs are left out: they have the deviation of a
+// declaration.
+auto RecordError(KindRegression& line, double declared, double run) -> void {
+  if (line.observations == 0 || ExceptionalPart(line, declared) > 0) {
+    return;
+  }
+  const auto error = run - PredictedLogarithm(line, declared);
+  const auto share = std::max(kErrorWeight, 1.0 / line.observations);
+  line.residual_square += share * (error * error - line.residual_square);
+}
+
 // Returns the history of the workers of this one's kind; null while it is too
 // short.
 auto FindWorkerKind(const RunTimes& times, const WorkerEntry& worker)
@@ -116,6 +139,7 @@
   const auto ran = Logarithm(run_time);
   auto& of_kind = times.kinds[kind];
   auto& of_worker = HistoryOf(times, worker);
+  RecordError(of_kind, asked, ran - of_worker.value);
   // The kind is updated first, so that a worker is compared with what its peers
   // show.
   AddObservation(of_kind, asked, ran - of_worker.value);
@@ -129,6 +153,19 @@
   AddObservation(times.worker_kinds[worker.kind], ratio, kKindWeight);
 }
 
+auto RecordTasksOfJob(RunTimes& times,
+                      const std::string& kind,
+                      const EndedTasks& ended) -> void {
+  if (ended.count < 2) {
+    return;
+  }
+  auto& line = times.kinds[kind];
+  line.jobs_compared = std::min(line.jobs_compared + 1, kMaxObservations);
+  const auto share = std::max(kErrorWeight, 1.0 / line.jobs_compared);
+  const auto variance = ended.squares / (ended.count - 1);
+  line.variance_among_tasks += share * (variance - line.variance_among_tasks);
+}
+
 auto RecordOverdue(RunTimes& times, const WorkerEntry& worker) -> void {
   AddObservation(HistoryOf(times, worker), kOverdueLogRatio, kOverdueWeight);
 }
@@ -148,6 +185,28 @@
       std::exp(PredictedLogarithm(it->second, Logarithm(declared)))));
 }
 
+auto RunTimeErrorsOf(const RunTimes& times,
+                     const std::string& kind,
+                     microseconds declared) -> RunTimeErrors {
+  RunTimeErrors out{.log_deviation = kFirstDeviation,
+                    .among_tasks = kFirstDeviationAmongTasks};
+  const auto it = times.kinds.find(kind);
+  if (it == times.kinds.end()) {
+    return out;
+  }
+  const auto& line = it->second;
+  if (line.observations >= kMinErrorObservations &&
+      ExceptionalPart(line, Logarithm(declared)) <= 0) {
+    out.log_deviation =
+        std::max(std::sqrt(line.residual_square), kMinDeviation);
+  }
+  if (line.jobs_compared >= kMinJobsCompared) {
+    out.among_tasks =
+        std::max(std::sqrt(line.variance_among_tasks), kMinDeviation);
+  }
+  return out;
+}
+
 auto SpeedOf(const RunTimes& times, const WorkerEntry& worker) -> double {
   const auto own = times.workers.find(worker.id);
   if (own != times.workers.end()) {
--- a/servers/scheduling/run_times.h
+++ b/servers/scheduling/run_times.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 
 #include "core/base/clock.h"
+#include "servers/estimates/run_time_distribution.h"
 #include "servers/scheduling/worker.h"
 
 namespace boragecroft {
@@ -28,6 +29,11 @@
   double mean_run = 0;
   double declared_variance = 0;
   double covariance = 0;
+  // Mean square of the difference between run times and expected ones, and the
+  // variance among the tasks of one job, both of logarithms.
+  double residual_square = 0;
+  double variance_among_tasks = 0;
+  uint32_t jobs_compared = 0;  // for the variance above; stops at a maximum
 };
 
 struct RunTimes {
@@ -49,6 +55,10 @@
                    microseconds run_time) -> void;
 // Records a run that has not ended after a multiple of its expected time.
 auto RecordOverdue(RunTimes& times, const WorkerEntry& worker) -> void;
+// Records how far the run times of the tasks of an ended job differ.
+auto RecordTasksOfJob(RunTimes& times,
+                      const std::string& kind,
+                      const EndedTasks& ended) -> void;
 // Removes the history of a worker that left or restarted.
 auto RemoveWorker(RunTimes& times, const std::string& worker) -> void;
 
@@ -56,6 +66,12 @@
 auto ExpectedRunTime(const RunTimes& times,
                      const std::string& kind,
                      microseconds declared) -> microseconds;
+// Returns how far run times of this kind are from the expected ones: 0.4 until
+// 30 tasks have ended, and for a job whose declared run time is exceptional.
+// Among the tasks of one job, 0.15 until learned.
+auto RunTimeErrorsOf(const RunTimes& times,
+                     const std::string& kind,
+                     microseconds declared) -> RunTimeErrors;
 // Returns the speed of a worker relative to the average: 1 is average or
 // unknown, 2 is twice as fast. A worker without history has the mean speed of
 // its kind.
--- a/tests/servers/scheduling/run_times_test.cc
+++ b/tests/servers/scheduling/run_times_test.cc
@@ -78,6 +78,33 @@
   EXPECT_NEAR(SpeedOf(times, fast), 1.7, 0.25);
 }
 
+// Guards against chances that are computed with a deviation that the kind does
+// not have: one whose declarations are exact, and one whose jobs differ inside.
+TEST_F(ObservedRuns, LearnHowFarRunTimesAreFromExpectedOnes) {
+  const auto worker = MakeWorker("w", "any");
+  const auto first = RunTimeErrorsOf(times, "receipt", Micros(170));
+  EXPECT_EQ(first.log_deviation, 0.4);
+  EXPECT_EQ(first.among_tasks, 0.15);
+  for (auto i = 0; i < 29; ++i) {
+    RecordRunTime(times, "receipt", worker, Micros(170), Micros(170));
+  }
+  EXPECT_EQ(RunTimeErrorsOf(times, "receipt", Micros(170)).log_deviation, 0.4);
+  for (auto i = 0; i < 2000; ++i) {
+    const auto work = DrawWork(170);
+    RecordRunTime(times, "receipt", worker, Micros(work), Micros(work));
+    Observe(worker, 1, 170);
+    EndedTasks ended;
+    AddEndedTask(ended, Micros(170));
+    AddEndedTask(ended, Micros(170 * std::exp(0.3)));
+    RecordTasksOfJob(times, "receipt", ended);
+  }
+  const auto learned = RunTimeErrorsOf(times, "receipt", Micros(170));
+  EXPECT_NEAR(learned.log_deviation, 0.27, 0.05);
+  EXPECT_NEAR(learned.among_tasks, 0.3 / std::sqrt(2), 0.01);
+  // The declaration of an exceptional job counts in full, with its error.
+  EXPECT_EQ(RunTimeErrorsOf(times, "receipt", Micros(2700)).log_deviation, 0.4);
+}
+
 // Covers workers that join or restart while the others of their kind are known.
 TEST_F(ObservedRuns, GiveNewWorkerTheSpeedOfItsKind) {
   for (auto i = 0; i < 600; ++i) {
