Refuse and give up jobs by their chance to end before the caller leaves

Cause: a run was stopped after three expected objectives although its caller still waited; others were held to 10 ms before the deadline although they could not end in time; a job was refused at once only if 0.6 of its expected run time was too long. Change: servers/scheduling/forecast keeps for each job the distribution of its run time. A job is refused at once (or when its last start is past) if its chance on the fastest usable worker is below 0.35, and given up once it is below 0.02, also counting another start on the fastest worker. The times are computed in closed form when a task starts or ends. The latest useful time is the caller's deadline less the stop lead. A run is moved as too late only if it then ends in time more probably than where it is; a first ended task is believed however long it took. job_ended has reason and chance_percent, and the metrics have jobs_hopeless and jobs_given_up. The replay reports who was held for over half of the time without being served (held, held_worth). TriesUnlikelyJobOnceAtQuietLoad declared 2,000 ms, which is refused now (RefusesJobThatProbablyEndsTooLate); it declares 1,500 ms and fails after 700 ms.

--- a/bench/replay/credit.cc
+++ b/bench/replay/credit.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr microseconds kWindow = seconds{2};
+// Half of the time that callers wait.
+constexpr milliseconds kLongHold{750};
 constexpr size_t kWorstWindows = 2;
 
 struct CreditSum {
@@ -24,6 +26,12 @@
   return record.answered - record.sent;
 }
 
+// Returns how long the caller waited, until its answer or until it left.
+auto HoldOf(const WorkloadJob& job, const JobRecord& record) -> microseconds {
+  return record.outcome && !record.caller_left ? TimeOf(record)
+                                               : job.leaves_after;
+}
+
 auto IsDone(const JobRecord& record) -> bool {
   return record.outcome == JobOutcome::kDone && !record.caller_left;
 }
@@ -149,6 +157,8 @@
 struct Counts {
   uint64_t counted = 0, refused = 0, late = 0, lost = 0, refused_late = 0;
   uint64_t retried = 0, retried_in_time = 0;
+  uint64_t held = 0;
+  CreditSum held_worth;
   milliseconds waited{};
   std::vector<double> refusal_ms;
 };
@@ -167,6 +177,10 @@
     return;
   }
   ++out.counted;
+  const auto held = !IsDone(record) && HoldOf(job, record) > kLongHold;
+  out.held += held ? 1 : 0;
+  out.held_worth.earned += held ? job.worth : 0;
+  out.held_worth.possible += job.worth;
   if (record.outcome == JobOutcome::kRefused) {
     ++out.refused;
     out.refusal_ms.push_back(
@@ -261,6 +275,8 @@
   out.refused = Ratio(counts.refused, counts.counted);
   out.late = Ratio(counts.late, counts.counted);
   out.lost = Ratio(counts.lost, counts.counted);
+  out.held = Ratio(counts.held, counts.counted);
+  out.held_worth = ShareOf(counts.held_worth);
   out.refused_late = Ratio(counts.refused_late, counts.counted);
   out.refusal_p50_ms = Percentile(counts.refusal_ms, 0.5);
   out.wasted_core_s = result.wasted_core_ms / 1000;
@@ -302,6 +318,8 @@
     out.refused += it.refused / n;
     out.late += it.late / n;
     out.lost += it.lost / n;
+    out.held += it.held / n;
+    out.held_worth += it.held_worth / n;
     out.refused_late += it.refused_late / n;
     out.refusal_p50_ms += it.refusal_p50_ms / n;
     out.wasted_core_s += it.wasted_core_s / n;
--- a/bench/replay/credit.h
+++ b/bench/replay/credit.h
@@ -46,7 +46,11 @@
   std::vector<SizeShares> served;
   double refused = 0;  // share of the counted jobs
   double late = 0;
-  double lost = 0;          // neither answered in time, nor late, nor refused
+  double lost = 0;  // neither answered in time, nor late, nor refused
+  // Not served after more than half of the time that callers wait: share of the
+  // jobs, and of the worth of all jobs.
+  double held = 0;
+  double held_worth = 0;
   double refused_late = 0;  // refused after a quarter of the objective
   double refusal_p50_ms = 0;
   double wasted_core_s = 0;
--- a/bench/replay/main.cc
+++ b/bench/replay/main.cc
@@ -149,6 +149,8 @@
   print("refusal_p50", mean.refusal_p50_ms, "ms");
   print("late", mean.late, "of jobs");
   print("lost", mean.lost, "of jobs");
+  print("held", mean.held, "of jobs");
+  print("held_worth", mean.held_worth, "of owed");
   print("wasted", mean.wasted_core_s, "core-s");
   if (mean.retried > 0) {
     print("returned", static_cast<double>(mean.retried), "jobs");
--- a/main/entry/entry_instance.cc
+++ b/main/entry/entry_instance.cc
@@ -96,6 +96,8 @@
     sum.runs_expired += scheduler.counters.runs_expired;
     sum.runs_overdue += scheduler.counters.runs_overdue;
     sum.jobs_redirected += scheduler.counters.jobs_redirected;
+    sum.jobs_hopeless += scheduler.counters.jobs_hopeless;
+    sum.jobs_given_up += scheduler.counters.jobs_given_up;
     const auto of_group = LoadOf(scheduler);
     load.free_slots += of_group.free_slots;
     load.waiting += of_group.waiting;
@@ -106,6 +108,8 @@
   metrics.SetSize("runs_lapsed", static_cast<double>(sum.runs_expired));
   metrics.SetSize("runs_overdue", static_cast<double>(sum.runs_overdue));
   metrics.SetSize("jobs_passed_on", static_cast<double>(sum.jobs_redirected));
+  metrics.SetSize("jobs_hopeless", static_cast<double>(sum.jobs_hopeless));
+  metrics.SetSize("jobs_given_up", static_cast<double>(sum.jobs_given_up));
   metrics.SetSize("free_places", load.free_slots);
   metrics.SetSize("tasks_waiting", load.waiting);
 }
--- a/main/entry/group_flow.cc
+++ b/main/entry/group_flow.cc
@@ -1,6 +1,7 @@
 #include "main/entry/group_flow.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "core/log/log.h"
@@ -46,6 +47,24 @@
   state.workers->Send(command);
 }
 
+auto ReasonName(GiveUpReason reason) -> const char* {
+  switch (reason) {
+    case GiveUpReason::kNoRoom:
+      return "no_room";
+    case GiveUpReason::kNoChance:
+      return "no_chance";
+    case GiveUpReason::kDeadline:
+      return "deadline";
+    case GiveUpReason::kWithdrawn:
+      return "withdrawn";
+    case GiveUpReason::kOriginLost:
+      return "origin_lost";
+    case GiveUpReason::kNone:
+      break;
+  }
+  return "none";
+}
+
 auto LogJobEnd(EntryState& state,
                const std::string& group,
                const ResultCommand& command) -> void {
@@ -63,7 +82,9 @@
        {"done", command.done},
        {"in_progress", command.in_progress},
        {"age_ms", command.age.count()},
-       {"objective_ms", command.objective.count()}});
+       {"objective_ms", command.objective.count()},
+       {"reason", ReasonName(command.reason)},
+       {"chance_percent", std::lround(command.chance * 100)}});
 }
 
 auto Execute(EntryState& state,
--- a/servers/scheduling/dispatching.cc
+++ b/servers/scheduling/dispatching.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "servers/scheduling/give_up.h"
 #include "servers/scheduling/waiting.h"
 
 namespace boragecroft::detail {
@@ -25,6 +26,8 @@
   const auto name = TaskName{.job = job.offer.name, .index = index};
   ++task.attempt;
   task.in_progress = true;
+  task.progress = {.started_at = now,
+                   .speed = SpeedOf(state.run_times, worker.entry)};
   ++job.in_progress;
   ++job.uncertain;
   ++state.counters.starts;
@@ -52,6 +55,8 @@
                 ScheduledJob& job,
                 Instant now,
                 SchedulerCommands& out) -> bool {
+  const auto in_progress = job.in_progress;
+  auto all = true;
   for (uint32_t i = 0; i < job.tasks.size(); ++i) {
     auto& task = job.tasks[i];
     if (task.done || task.in_progress) {
@@ -59,11 +64,15 @@
     }
     auto* worker = PlaceTaskOf(state, job, task.failed_on, now);
     if (worker == nullptr) {
-      return false;
+      all = false;
+      break;
     }
     StartTask(state, job, i, *worker, now, out);
   }
-  return true;
+  if (job.in_progress > in_progress) {
+    UpdateChanceGoneAt(job);
+  }
+  return all;
 }
 
 auto StopRunsOf(Scheduler& state,
@@ -118,13 +127,9 @@
                      .token = state.token + worker.incarnations_seen};
 }
 
-auto RunTimeOf(const Scheduler& state, const ScheduledJob& job)
+auto RunTimeOf(const Scheduler& /*state*/, const ScheduledJob& job)
     -> microseconds {
-  if (job.observed_run_time > microseconds{0}) {
-    return job.observed_run_time;
-  }
-  return ExpectedRunTime(state.run_times, job.offer.kind,
-                         job.offer.run_estimate);
+  return job.forecast.median;
 }
 
 static auto RequestFor(const Scheduler& state,
@@ -135,6 +140,7 @@
                           .service = job.offer.service,
                           .needs = job.offer.needs,
                           .run_time = RunTimeOf(state, job),
+                          .shortest_run_time = job.forecast.shortest,
                           .arrived = job.times.arrived,
                           .target = job.offer.target,
                           .slack_factor = job.offer.slack_factor,
@@ -150,10 +156,8 @@
                    RequestFor(state, job, avoid), now);
 }
 
-auto IsHopeless(const Scheduler& state, const ScheduledJob& job, Instant now)
-    -> bool {
-  return !CanEndInTime(state.workers, state.run_times,
-                       RequestFor(state, job, {}), now);
+auto IsHopeless(const ScheduledJob& job, Instant now) -> bool {
+  return ChanceOf(job, now) < kMinChanceToStart;
 }
 
 auto CanStartAllTasks(Scheduler& state, const ScheduledJob& job, Instant now)
@@ -270,10 +274,13 @@
     ++job.done;
     if (job.done == job.tasks.size()) {
       EndJob(state, job, JobOutcome::kDone, now, out);
+    } else {
+      UpdateChanceGoneAt(job);
     }
     return;
   }
   task.failed_on = worker.entry.id;
+  UpdateChanceGoneAt(job);
   if (end == RunEnd::kFailed && ++task.failures >= job.offer.max_attempts) {
     EndJob(state, job, JobOutcome::kFailed, now, out);
   }
@@ -301,7 +308,9 @@
                               .done = job.done,
                               .in_progress = job.in_progress,
                               .age = since_arrival(now),
-                              .objective = since_arrival(job.times.objective)});
+                              .objective = since_arrival(job.times.objective),
+                              .reason = job.reason,
+                              .chance = job.chance});
   if (outcome != JobOutcome::kDone) {
     StopRunsOf(state, job, out);
   }
--- a/servers/scheduling/dispatching.h
+++ b/servers/scheduling/dispatching.h
@@ -23,10 +23,9 @@
              Run& run,
              SchedulerCommands& out) -> void;
 
-// Reports whether no worker is fast enough to end the job before its latest
-// useful time, even if it started now and its run time is overestimated.
-auto IsHopeless(const Scheduler& state, const ScheduledJob& job, Instant now)
-    -> bool;
+// Reports whether the job probably ends after its caller has left, even if it
+// starts now on the fastest usable worker.
+auto IsHopeless(const ScheduledJob& job, Instant now) -> bool;
 
 // Records the end of a run: its task is done, waits for another start, or ends
 // its job.
--- a/servers/scheduling/job_events.cc
+++ b/servers/scheduling/job_events.cc
@@ -4,14 +4,12 @@
 #include <utility>
 
 #include "servers/scheduling/dispatching.h"
+#include "servers/scheduling/give_up.h"
 #include "servers/scheduling/scheduler.h"
 
 namespace boragecroft {
 namespace {
 
-// Time for which the jobs of a lost origin continue, so that it can reconnect
-// and hand them over again.
-constexpr milliseconds kOriginGrace{200};
 // Weight of a new offer in the moving average of the needs of a task, in
 // percent.
 constexpr int64_t kTypicalNeedsWeightPercent = 5;
@@ -38,9 +36,11 @@
              JobOffer offer,
              Instant now) -> ScheduledJob {
   ScheduledJob job;
-  const auto run_time =
-      ExpectedRunTime(state.run_times, offer.kind, offer.run_estimate);
-  job.times = PlanTimes(offer, run_time, now);
+  const auto fastest =
+      SpeedOfFastest(state.workers, state.run_times, offer.service);
+  job.forecast =
+      MakeForecast(state.run_times, offer.kind, offer.run_estimate, fastest);
+  job.times = PlanTimes(offer, job.forecast.median, now);
   job.offered_at = now;
   job.origin = origin;
   job.spec = std::make_shared<const std::string>(std::move(offer.spec));
@@ -52,13 +52,10 @@
     it.attempt = offer.submission * kAttemptsPerSubmission;
   }
   job.offer = std::move(offer);
+  detail::UpdateChanceGoneAt(job);
   return job;
 }
 
-auto MayHaveRun(const ScheduledJob& job) -> bool {
-  return job.uncertain > 0 || job.offer.may_run_elsewhere;
-}
-
 auto MakeRedirect(const ScheduledJob& job, Instant now) -> ResultCommand {
   const auto since_arrival = [&](Instant at) {
     return std::chrono::duration_cast<milliseconds>(at - job.times.arrived);
@@ -75,20 +72,19 @@
 
 auto GiveUp(Scheduler& state,
             ScheduledJob& job,
+            GiveUpReason reason,
             Instant now,
             SchedulerCommands& out) -> void {
+  const auto may_have_run = detail::MayHaveRun(job);
   const auto outcome =
-      MayHaveRun(job) ? JobOutcome::kStopped : JobOutcome::kRefused;
-  detail::EndJob(state, job, outcome, now, out);
-}
-
-// Returns the time at which the job is given up unless it changes before.
-auto GiveUpAt(const ScheduledJob& job) -> Instant {
-  auto at = job.uncertain == 0 ? job.times.refuse_at : job.times.stop_at;
-  if (job.orphaned_at != Instant()) {
-    at = std::min(at, job.orphaned_at + kOriginGrace);
+      may_have_run ? JobOutcome::kStopped : JobOutcome::kRefused;
+  job.reason = reason;
+  job.chance = detail::ChanceOf(job, now);
+  if (reason == GiveUpReason::kNoChance) {
+    ++(may_have_run ? state.counters.jobs_given_up
+                    : state.counters.jobs_hopeless);
   }
-  return at;
+  detail::EndJob(state, job, outcome, now, out);
 }
 
 }  // namespace
@@ -127,9 +123,8 @@
     return;
   }
   auto& accepted = state.jobs.emplace(name, std::move(job)).first->second;
-  if (!accepted.offer.may_run_elsewhere &&
-      detail::IsHopeless(state, accepted, now)) {
-    GiveUp(state, accepted, now, out);
+  if (!accepted.offer.may_run_elsewhere && detail::IsHopeless(accepted, now)) {
+    GiveUp(state, accepted, GiveUpReason::kNoChance, now, out);
     return;
   }
   detail::StartWaitingTasks(state, now, out);
@@ -145,7 +140,7 @@
       it->second.ended) {
     return;
   }
-  GiveUp(state, it->second, now, out);
+  GiveUp(state, it->second, GiveUpReason::kWithdrawn, now, out);
 }
 
 auto OnCancelledByCaller(Scheduler& state,
@@ -156,6 +151,7 @@
   if (it == state.jobs.end() || it->second.ended) {
     return false;
   }
+  it->second.reason = GiveUpReason::kWithdrawn;
   detail::EndJob(state, it->second, JobOutcome::kCancelled, now, out);
   return true;
 }
@@ -171,12 +167,13 @@
 auto OnTime(Scheduler& state, Instant now, SchedulerCommands& out) -> void {
   std::vector<JobName> due;
   for (const auto& [name, job] : state.jobs) {
-    if (!job.ended && GiveUpAt(job) <= now) {
+    if (!job.ended && detail::GiveUpAt(job) <= now) {
       due.push_back(name);
     }
   }
   for (const auto name : due) {
-    GiveUp(state, state.jobs.at(name), now, out);
+    auto& job = state.jobs.at(name);
+    GiveUp(state, job, detail::GiveUpReasonOf(job, now), now, out);
   }
   for (auto& [id, worker] : state.workers) {
     if (!worker.reachable && !worker.runs.empty() && ExpiredBy(worker) <= now) {
@@ -199,7 +196,7 @@
   };
   for (const auto& [name, job] : state.jobs) {
     if (!job.ended) {
-      consider(GiveUpAt(job));
+      consider(detail::GiveUpAt(job));
     }
   }
   for (const auto& [id, worker] : state.workers) {
--- a/servers/scheduling/objective.cc
+++ b/servers/scheduling/objective.cc
@@ -9,8 +9,6 @@
 // that reaches the caller after a quarter of the objective costs the caller
 // more; the remaining 0.03 are for the way back.
 constexpr double kMaxWaitShare = 0.22;
-// Callers have no use for an answer later than this many objectives.
-constexpr int kMaxUsefulObjectives = 3;
 // Time that a stop order needs to reach the worker before the caller stops
 // waiting.
 constexpr milliseconds kStopLead{10};
@@ -28,9 +26,7 @@
   times.arrived = now - offer.age;
   times.objective = times.arrived + objective;
   times.refuse_at = times.arrived + wait;
-  const auto latest_stop = now + offer.remaining - kStopLead;
-  times.stop_at =
-      std::min(latest_stop, times.arrived + objective * kMaxUsefulObjectives);
+  times.stop_at = now + offer.remaining - kStopLead;
   times.refuse_at = std::min(times.refuse_at, times.stop_at);
   return times;
 }
--- a/servers/scheduling/objective.h
+++ b/servers/scheduling/objective.h
@@ -17,7 +17,7 @@
   Instant arrived;    // at its origin instance
   Instant objective;  // an answer by this time meets the objective
   Instant refuse_at;  // the job is refused unless it has started by this time
-  Instant stop_at;    // an answer after this time is of no use to the caller
+  Instant stop_at;    // an end after this time no longer reaches the caller
 };
 
 // Computes the times of a job that reaches the scheduler at `now`. `run_time`
--- a/servers/scheduling/placement.cc
+++ b/servers/scheduling/placement.cc
@@ -34,10 +34,6 @@
 // Fast workers have spare capacity while less than this share of it is used.
 constexpr double kSpareUsedShare = 0.65;
 
-// A task whose run time can't be met by the fastest worker even if it takes
-// only this share of the expected time is refused at once.
-constexpr double kHopelessRunTimeShare = 0.6;
-
 enum class Fit : uint8_t {
   kSafe,
   kBarely,
@@ -73,16 +69,16 @@
   if (IsInTime(request, speed, kBarelyRunTimeFactor, now)) {
     return Fit::kBarely;
   }
-  const auto us = static_cast<double>(request.run_time.count()) / speed;
-  const auto ends = [&](double factor) {
-    return now + kDispatchOverhead +
-           microseconds(static_cast<int64_t>(us * factor));
+  const auto is_in_time = [&](microseconds run_time) {
+    const auto us = static_cast<double>(run_time.count()) / speed;
+    return now + kDispatchOverhead + microseconds(static_cast<int64_t>(us)) <=
+           request.latest;
   };
-  if (ends(1) <= request.latest) {
+  if (is_in_time(request.run_time)) {
     return Fit::kAfterObjective;
   }
-  return ends(kHopelessRunTimeShare) <= request.latest ? Fit::kUnlikely
-                                                       : Fit::kAfterLatest;
+  return is_in_time(request.shortest_run_time) ? Fit::kUnlikely
+                                               : Fit::kAfterLatest;
 }
 
 auto Prefer(const WorkerAccount& worker,
@@ -110,18 +106,6 @@
              (request.latest - request.arrived) / kFastWorkerWaitDivisor;
 }
 
-auto FastestSpeed(const WorkerAccounts& workers,
-                  const RunTimes& times,
-                  const std::string& service) -> double {
-  double fastest = 0;
-  for (const auto& [id, worker] : workers) {
-    if (IsUsable(worker, service)) {
-      fastest = std::max(fastest, SpeedOf(times, worker.entry));
-    }
-  }
-  return fastest;
-}
-
 // Reports whether the fastest workers have spare capacity.
 //
 // Handles quiet load: a long task then takes the fastest worker, and not the
@@ -212,6 +196,18 @@
       [](const Run& it) { return it.inherited || MayOutliveJob(it); });
 }
 
+auto SpeedOfFastest(const WorkerAccounts& workers,
+                    const RunTimes& times,
+                    const std::string& service) -> double {
+  double fastest = 0;
+  for (const auto& [id, worker] : workers) {
+    if (IsUsable(worker, service)) {
+      fastest = std::max(fastest, SpeedOf(times, worker.entry));
+    }
+  }
+  return fastest;
+}
+
 auto PlaceTask(WorkerAccounts& workers,
                const RunTimes& times,
                const PlacementRequest& request,
@@ -219,7 +215,7 @@
   if (request.rule != PlacementRule::kObjective) {
     return PlaceByFreeCapacity(workers, request);
   }
-  const auto fastest = FastestSpeed(workers, times, request.service);
+  const auto fastest = SpeedOfFastest(workers, times, request.service);
   const auto wait_for_fast = ShouldWaitForFastWorker(request, now);
   const auto prefer_fast =
       request.run_time >= kLongTaskRunTime &&
@@ -252,25 +248,12 @@
   return best;
 }
 
-auto CanEndInTime(const WorkerAccounts& workers,
-                  const RunTimes& times,
-                  const PlacementRequest& request,
-                  Instant now) -> bool {
-  const auto fastest = FastestSpeed(workers, times, request.service);
-  if (fastest <= 0) {
-    return true;
-  }
-  const auto us = static_cast<double>(request.run_time.count()) *
-                  kHopelessRunTimeShare / fastest;
-  return now + microseconds(static_cast<int64_t>(us)) <= request.latest;
-}
-
 auto CountFreeSlots(const WorkerAccounts& workers,
                     const RunTimes& times,
                     const std::string& service,
                     const Resources& needs) -> FreeSlots {
   FreeSlots slots;
-  const auto fastest = FastestSpeed(workers, times, service);
+  const auto fastest = SpeedOfFastest(workers, times, service);
   for (const auto& [id, worker] : workers) {
     if (!IsUsable(worker, service) || needs.cpu_millis <= 0) {
       continue;
--- a/servers/scheduling/placement.h
+++ b/servers/scheduling/placement.h
@@ -27,6 +27,8 @@
   std::string service;
   Resources needs;
   microseconds run_time{};  // expected on a worker of speed 1
+  // On a worker of speed 1; a task is hardly ever shorter.
+  microseconds shortest_run_time{};
   Instant arrived;          // arrival of the job
   milliseconds target{};    // constant part of the latency objective
   double slack_factor = 1;  // factor of the run time in the latency objective
@@ -44,13 +46,10 @@
                const PlacementRequest& request,
                Instant now) -> WorkerAccount*;
 
-// Reports whether the task could still end before its latest useful time if it
-// started on the fastest usable worker now. True when no worker is usable,
-// because one may become usable.
-auto CanEndInTime(const WorkerAccounts& workers,
-                  const RunTimes& times,
-                  const PlacementRequest& request,
-                  Instant now) -> bool;
+// Returns the speed of the fastest usable worker; 0 when none is usable.
+auto SpeedOfFastest(const WorkerAccounts& workers,
+                    const RunTimes& times,
+                    const std::string& service) -> double;
 
 // Number of tasks that fit on the usable workers now.
 struct FreeSlots {
--- a/servers/scheduling/run_watch.cc
+++ b/servers/scheduling/run_watch.cc
@@ -34,10 +34,31 @@
 auto WillEndTooLate(const ScheduledJob& job,
                     const Run& run,
                     microseconds expected) -> bool {
-  return job.observed_run_time > microseconds{0} &&
+  return job.forecast.ended.count > 0 &&
          run.ordered_at + expected * kLateRunPercent / 100 > job.times.stop_at;
 }
 
+// Reports whether the run ends in time more probably if it is started again on
+// another worker, where it loses what it has done.
+auto GainsByMove(const Scheduler& state,
+                 const ScheduledJob& job,
+                 const Run& run,
+                 const WorkerAccount& worker,
+                 const WorkerAccount& other,
+                 Instant now) -> bool {
+  const auto until = [&](Instant from) {
+    return std::chrono::duration_cast<microseconds>(job.times.stop_at - from);
+  };
+  const auto stays = ChanceOfEnd(
+      job.forecast.task, SpeedOf(state.run_times, worker.entry),
+      std::chrono::duration_cast<microseconds>(now - run.ordered_at),
+      until(run.ordered_at));
+  const auto moves =
+      ChanceOfEnd(job.forecast.task, SpeedOf(state.run_times, other.entry),
+                  microseconds{0}, until(now + kMoveTime));
+  return moves > stays;
+}
+
 }  // namespace
 
 auto RecordFinishedRun(Scheduler& state,
@@ -52,10 +73,13 @@
   const auto run_time =
       std::chrono::duration_cast<microseconds>(now - run.ordered_at);
   const auto speed = SpeedOf(state.run_times, worker.entry);
-  job.observed_run_time = std::max(
-      job.observed_run_time,
-      microseconds(
-          static_cast<int64_t>(static_cast<double>(run_time.count()) * speed)));
+  AddEndedTask(job.forecast,
+               microseconds(static_cast<int64_t>(
+                   static_cast<double>(run_time.count()) * speed)),
+               job.done + job.in_progress);
+  if (job.forecast.ended.count == job.tasks.size()) {
+    RecordTasksOfJob(state.run_times, job.offer.kind, job.forecast.ended);
+  }
   RecordRunTime(state.run_times, job.offer.kind, worker.entry,
                 job.offer.run_estimate, run_time);
 }
@@ -82,7 +106,10 @@
     if (!overdue && !WillEndTooLate(job, run, expected)) {
       continue;
     }
-    if (PlaceTaskOf(state, job, worker.entry.id, now + kMoveTime) != nullptr) {
+    const auto* other =
+        PlaceTaskOf(state, job, worker.entry.id, now + kMoveTime);
+    if (other != nullptr &&
+        (overdue || GainsByMove(state, job, run, worker, *other, now))) {
       StopRun(state, worker, run, out);
     }
   }
--- a/servers/scheduling/scheduler.h
+++ b/servers/scheduling/scheduler.h
@@ -16,6 +16,7 @@
 #include <variant>
 #include <vector>
 
+#include "servers/scheduling/forecast.h"
 #include "servers/scheduling/job.h"
 #include "servers/scheduling/objective.h"
 #include "servers/scheduling/placement.h"
@@ -60,6 +61,16 @@
                          // it answers
 };
 
+// Why a job was ended without all its tasks done.
+enum class GiveUpReason : uint8_t {
+  kNone,        // done, or one of its tasks failed too often
+  kNoRoom,      // no task could start in time
+  kNoChance,    // it would probably not have ended before its caller left
+  kDeadline,    // its caller has stopped waiting
+  kWithdrawn,   // its origin instance or its caller withdrew it
+  kOriginLost,  // its origin instance is lost
+};
+
 struct ResultCommand {
   OriginId origin = 0;
   JobResult result;
@@ -72,6 +83,8 @@
   uint32_t in_progress = 0;
   milliseconds age{};        // since the job arrived
   milliseconds objective{};  // measured from the arrival of the job
+  GiveUpReason reason = GiveUpReason::kNone;
+  double chance = 1;  // to end before its caller leaves, when it was given up
 };
 
 // Reports that a worker refused this holder's token, because another instance
@@ -107,6 +120,7 @@
   uint32_t attempt = 0;      // number of the last attempt
   uint32_t failures = 0;
   std::string failed_on;  // worker on which the last attempt failed
+  RunProgress progress;   // of the last attempt
 };
 
 struct ScheduledJob {
@@ -119,10 +133,12 @@
   uint32_t done = 0;
   uint32_t in_progress = 0;
   uint32_t uncertain = 0;  // number of starts that may have been carried out
-  // Run time of its tasks at speed 1 according to those that have ended; 0 when
-  // none has. The tasks of one job differ far less than declared run times are
-  // off.
-  microseconds observed_run_time{};
+  JobForecast forecast;
+  // When its chance to end before its caller leaves has become too small,
+  // unless one of its tasks starts or ends before.
+  Instant chance_gone_at;
+  GiveUpReason reason = GiveUpReason::kNone;
+  double chance = 1;    // when it was given up
   bool ended = false;   // its result has been sent; its runs are being stopped
   Instant orphaned_at;  // when its origin was lost; zero while it is connected
 };
@@ -135,6 +151,8 @@
   uint64_t jobs_redirected = 0;  // not all tasks could start immediately: the
                                  // origin asks another group
   uint64_t jobs_stopped = 0;
+  uint64_t jobs_hopeless = 0;  // refused without a chance to end in time
+  uint64_t jobs_given_up = 0;  // stopped early, once the chance had gone
   uint64_t starts = 0;
   uint64_t stops = 0;
   uint64_t renewals = 0;
--- a/tests/servers/scheduling/orders_test.cc
+++ b/tests/servers/scheduling/orders_test.cc
@@ -301,8 +301,12 @@
   now += milliseconds{600};
   AnswerRenewal(renewal, {}, {{1, starts[1].task, 1, RunEnd::kLeaseExpired}});
   EXPECT_FALSE(state.jobs.contains(JobName{1}));
+  // The second caller still waits, so that its task is started again first.
   Offer(MakeOffer(3, 1));
-  EXPECT_EQ(Take<StartCommand>().size(), 1U);
+  const auto again = Take<StartCommand>();
+  ASSERT_EQ(again.size(), 2U);
+  EXPECT_EQ(again[0].task.job, JobName{2});
+  EXPECT_EQ(again[1].task.job, JobName{3});
 }
 
 // The worker has restarted and carried the start out late, so it has granted no
--- a/tests/servers/scheduling/waiting_test.cc
+++ b/tests/servers/scheduling/waiting_test.cc
@@ -111,6 +111,64 @@
   EXPECT_EQ(Take<ResultCommand>().at(0).result.outcome, JobOutcome::kStopped);
 }
 
+// Guards against runs that are stopped although their caller still waits: a run
+// was ended after three objectives, which is 468 ms for a job of 60 ms.
+TEST_F(StartedJob, RunsOnWhileCallerWaits) {
+  Begin({MakeEntry("w1", 32'000)});
+  Offer(MakeOffer(1, 1));
+  AnswerStart(Take<StartCommand>().at(0), OrderAnswer::kAccepted);
+  EXPECT_EQ(NextDue(state), now + milliseconds{1490});
+  AdvanceTime(milliseconds{1489});
+  EXPECT_TRUE(Take<ResultCommand>().empty());
+  AdvanceTime(milliseconds{1});
+  const auto result = Take<ResultCommand>().at(0);
+  EXPECT_EQ(result.result.outcome, JobOutcome::kStopped);
+  EXPECT_EQ(result.reason, GiveUpReason::kDeadline);
+}
+
+// Two of the three tasks of a job fit. The first one ends after `first`.
+class JobWithWaitingTask : public SchedulerFixture {
+ protected:
+  auto EndFirstTaskAfter(milliseconds first) -> void {
+    Begin({MakeEntry("w1", 32'000)});
+    auto offer = MakeOffer(1, 3);
+    offer.run_estimate = milliseconds{500};
+    Offer(offer);
+    const auto starts = Take<StartCommand>();
+    ASSERT_EQ(starts.size(), 2U);
+    for (const auto& it : starts) {
+      AnswerStart(it, OrderAnswer::kAccepted);
+    }
+    now += first;
+    AnswerRenewal(Take<RenewCommand>().at(0), {{starts[1].task, 1}},
+                  {{1, starts[0].task, 1, RunEnd::kDone}});
+  }
+};
+
+// Guards against callers held to their deadline, and room held with them: the
+// first task took 980 ms, so that the third one can't end in the 510 ms left.
+TEST_F(JobWithWaitingTask, IsGivenUpOnceAnEndedTaskShowsThatItIsLate) {
+  EndFirstTaskAfter(milliseconds{980});
+  ASSERT_TRUE(NextDue(state).has_value());
+  EXPECT_LE(*NextDue(state), now);
+  AdvanceTime(milliseconds{0});
+  const auto result = Take<ResultCommand>().at(0);
+  EXPECT_EQ(result.result.outcome, JobOutcome::kStopped);
+  EXPECT_EQ(result.reason, GiveUpReason::kNoChance);
+  EXPECT_LT(result.chance, kMinChanceToContinue);
+  EXPECT_EQ(state.counters.jobs_given_up, 1U);
+  EXPECT_FALSE(Take<StopCommand>().empty());
+}
+
+// Guards against work thrown away: the first task took as long as declared, so
+// that the third one ends in time.
+TEST_F(JobWithWaitingTask, IsContinuedWhileItsChanceIsReal) {
+  EndFirstTaskAfter(milliseconds{520});
+  AdvanceTime(milliseconds{0});
+  EXPECT_TRUE(Take<ResultCommand>().empty());
+  EXPECT_EQ(Take<StartCommand>().size(), 1U);
+}
+
 class LostOrigin : public SchedulerFixture {
  protected:
   void SetUp() override {
@@ -184,15 +242,17 @@
 }
 
 // Covers quiet load: an attempt that probably fails uses only capacity that
-// nothing else needs, and it is made once.
+// nothing else needs, and it is made once. After a late failure, the task would
+// end in time only if it took half of its expected time.
 TEST_F(TaskPlacement, TriesUnlikelyJobOnceAtQuietLoad) {
   Begin({MakeEntry("a", 32'000), MakeEntry("b", 32'000)});
   auto unlikely = MakeOffer(1, 1);
-  unlikely.run_estimate = milliseconds{2000};
+  unlikely.run_estimate = milliseconds{1500};
   Offer(unlikely);
   const auto starts = Take<StartCommand>();
   ASSERT_EQ(starts.size(), 1);
   AnswerStart(starts[0], OrderAnswer::kAccepted);
+  now += milliseconds{700};
   for (const auto& it : Take<RenewCommand>()) {
     AnswerRenewal(it, {}, {{1, starts[0].task, 1, RunEnd::kFailed}});
   }
@@ -212,6 +272,37 @@
   EXPECT_TRUE(state.jobs.empty());
 }
 
+// Guards against callers that are held for nothing: the job's declared run time
+// is 40 % off, so that it ends in time once in four times only.
+TEST_F(TaskPlacement, RefusesJobThatProbablyEndsTooLate) {
+  Begin({MakeEntry("only", 32'000)});
+  auto unlikely = MakeOffer(1, 1);
+  unlikely.run_estimate = milliseconds{2000};
+  Offer(unlikely);
+  const auto result = Take<ResultCommand>().at(0);
+  EXPECT_EQ(result.result.outcome, JobOutcome::kRefused);
+  EXPECT_EQ(result.reason, GiveUpReason::kNoChance);
+  EXPECT_NEAR(result.chance, 0.23, 0.01);
+  EXPECT_EQ(state.counters.jobs_hopeless, 1U);
+}
+
+// Guards against refusals by the mean worker: the fastest one that may be used
+// decides, and a job is kept while no worker is usable.
+TEST_F(TaskPlacement, KeepsLongJobThatFastestWorkerEndsInTime) {
+  Begin({MakeEntry("fast", 32'000), MakeEntry("slow", 32'000)});
+  state.run_times.workers["fast"] = {.value = -0.5, .observations = 50};
+  auto long_job = MakeOffer(1, 1);
+  long_job.run_estimate = milliseconds{2000};
+  Offer(long_job);
+  EXPECT_EQ(Take<StartCommand>().at(0).target.worker, "fast");
+  for (auto& [id, worker] : state.workers) {
+    worker.reachable = false;
+  }
+  long_job.name = JobName{2};
+  Offer(long_job);
+  EXPECT_TRUE(Take<ResultCommand>().empty());
+}
+
 TEST_F(TaskPlacement, KeepsHopelessJobThatMayRunElsewhere) {
   Begin({MakeEntry("only", 32'000)});
   auto hopeless = MakeOffer(1, 1);
