--- a/main/entry/entry_instance.cc
+++ b/main/entry/entry_instance.cc
@@ -10,6 +10,7 @@
 #include "main/entry/cancel_flow.h"
 #include "main/entry/group_flow.h"
 #include "main/entry/job_flow.h"
+#include "main/entry/peer_flow.h"
 #include "main/entry/store_flow.h"
 #include "main/entry/succession_flow.h"
 #include "main/entry/suspension.h"
@@ -33,14 +34,61 @@
   return !state.draining_since && state.routes.version > 0;
 }
 
+// Memory that the requests and answers of all callers may take together while
+// they are not complete: 60 bodies of the largest size. An instance has 120 MB
+// on the smallest machine and uses 8 MB when idle.
+constexpr size_t kMaxHeldBytes = 16U << 20U;
+// The balancer and the scraper have one or two connections each.
+constexpr size_t kMaxMonitorConnections = 32;
+// They send requests without a body.
+constexpr HttpRequestLimits kMonitorLimits{.max_head_bytes = 8192,
+                                           .max_body_bytes = 1024};
+constexpr size_t kMaxMonitorHeldBytes = 4U << 20U;
+
+auto ToHttpLimits(const RequestLimits& limits) -> HttpRequestLimits {
+  return {.max_head_bytes = limits.max_header_bytes,
+          .max_body_bytes = limits.max_body_bytes};
+}
+
+auto MaxCallerConnections(size_t descriptors) -> size_t {
+  return descriptors > 2 * kReservedDescriptors
+             ? descriptors - kReservedDescriptors
+             : descriptors / 2;
+}
+
+// Counts and logs a request that could not be read, and returns the answer.
+auto RefuseRequest(EntryState& state, const char* listener, HttpFault fault)
+    -> HttpResponse {
+  state.metrics.CountRefusedRequest(listener, ToString(fault));
+  if (MayLog(state.log_budget, BootClock::now())) {
+    Log(LogLevel::kWarning, "request_refused",
+        {{"listener", listener}, {"reason", ToString(fault)}});
+  }
+  return platform::EncodeFault(fault);
+}
+
+// Sets the answers to requests that cannot be read, and the counters.
+auto SetFaultCallbacks(EntryState& state,
+                       const char* listener,
+                       HttpServerCallbacks& callbacks) -> void {
+  callbacks.on_fault = [&state, listener](HttpFault fault) {
+    return RefuseRequest(state, listener, fault);
+  };
+  callbacks.on_closed_for_others = [&state, listener] {
+    state.metrics.CountRefusedRequest(listener, "closed_for_others");
+  };
+}
+
 auto ListenForCallers(EntryState& state) -> Result<void, std::string> {
+  const auto& limits = state.routes.limits;
   HttpServerOptions options;
   options.listen = state.settings.callers;
-  options.max_body_bytes = RequestLimits().max_body_bytes;
+  options.limits = ToHttpLimits(limits);
+  options.idle_timeout = limits.idle_timeout;
+  options.head_timeout = limits.header_timeout;
   options.max_connections =
-      state.settings.max_descriptors > 2 * kReservedDescriptors
-          ? state.settings.max_descriptors - kReservedDescriptors
-          : state.settings.max_descriptors / 2;
+      MaxCallerConnections(state.settings.max_descriptors);
+  options.max_held_bytes = kMaxHeldBytes;
   HttpServerCallbacks callbacks;
   callbacks.on_request = [&state](const HttpRequest& request,
                                   HttpResponder respond) {
@@ -49,17 +97,20 @@
   callbacks.on_abandoned = [&state](uint64_t request) {
     OnCallerAbandoned(state, request);
   };
-  callbacks.on_fault = [](HttpFault fault) {
-    return fault == HttpFault::kBodyTooLarge
-               ? platform::EncodeError(413, "body too large")
-               : platform::EncodeError(400, "request cannot be read");
-  };
+  SetFaultCallbacks(state, "callers", callbacks);
   BOOST_OUTCOME_TRY(state.caller_server,
                     HttpServer::Listen(state.context, std::move(options),
                                        std::move(callbacks)));
   return success();
 }
 
+auto MonitorOptions(const Address& listen) -> HttpServerOptions {
+  return {.listen = listen,
+          .limits = kMonitorLimits,
+          .max_connections = kMaxMonitorConnections,
+          .max_held_bytes = kMaxMonitorHeldBytes};
+}
+
 auto ListenForReadiness(EntryState& state) -> Result<void, std::string> {
   HttpServerCallbacks callbacks;
   callbacks.on_request = [&state](const HttpRequest& /*request*/,
@@ -68,11 +119,11 @@
     response.status = IsReady(state) ? 200 : 503;
     respond(std::move(response));
   };
-  BOOST_OUTCOME_TRY(
-      state.readiness_server,
-      HttpServer::Listen(state.context,
-                         HttpServerOptions{.listen = state.settings.readiness},
-                         std::move(callbacks)));
+  SetFaultCallbacks(state, "readiness", callbacks);
+  BOOST_OUTCOME_TRY(state.readiness_server,
+                    HttpServer::Listen(state.context,
+                                       MonitorOptions(state.settings.readiness),
+                                       std::move(callbacks)));
   return success();
 }
 
@@ -98,6 +149,7 @@
     sum.jobs_redirected += scheduler.counters.jobs_redirected;
     sum.jobs_hopeless += scheduler.counters.jobs_hopeless;
     sum.jobs_given_up += scheduler.counters.jobs_given_up;
+    sum.jobs_displaced += scheduler.counters.jobs_displaced;
     const auto of_group = LoadOf(scheduler);
     load.free_slots += of_group.free_slots;
     load.waiting += of_group.waiting;
@@ -110,8 +162,23 @@
   metrics.SetSize("jobs_passed_on", static_cast<double>(sum.jobs_redirected));
   metrics.SetSize("jobs_hopeless", static_cast<double>(sum.jobs_hopeless));
   metrics.SetSize("jobs_given_up", static_cast<double>(sum.jobs_given_up));
+  metrics.SetSize("jobs_displaced", static_cast<double>(sum.jobs_displaced));
   metrics.SetSize("free_places", load.free_slots);
   metrics.SetSize("tasks_waiting", load.waiting);
+  size_t runs = 0;
+  size_t runs_in_evacuated_zones = 0;
+  for (const auto& [group, scheduler] : state.schedulers) {
+    const auto of_group = CountRuns(scheduler);
+    runs += of_group;
+    runs_in_evacuated_zones += scheduler.evacuated_since ? of_group : 0;
+  }
+  metrics.SetSize("runs_in_progress", static_cast<double>(runs));
+  metrics.SetSize("runs_in_evacuated_zones",
+                  static_cast<double>(runs_in_evacuated_zones));
+  const auto zones_evacuated = std::count_if(
+      state.succession.groups.begin(), state.succession.groups.end(),
+      [&](const auto& it) { return IsEvacuated(state.evacuations, it.first); });
+  metrics.SetSize("zones_evacuated", static_cast<double>(zones_evacuated));
 }
 
 auto ListenForMetrics(EntryState& state) -> Result<void, std::string> {
@@ -124,12 +191,12 @@
     response.body = state.metrics.Render();
     respond(std::move(response));
   };
+  SetFaultCallbacks(state, "metrics", callbacks);
   const Address address{.ip = state.settings.readiness.ip,
                         .port = state.metrics_port};
-  BOOST_OUTCOME_TRY(
-      state.metrics_server,
-      HttpServer::Listen(state.context, HttpServerOptions{.listen = address},
-                         std::move(callbacks)));
+  BOOST_OUTCOME_TRY(state.metrics_server,
+                    HttpServer::Listen(state.context, MonitorOptions(address),
+                                       std::move(callbacks)));
   return success();
 }
 
@@ -238,6 +305,14 @@
   return success();
 }
 
+auto ApplyRequestLimits(EntryState& state) -> void {
+  const auto& limits = state.routes.limits;
+  if (state.caller_server) {
+    state.caller_server->SetLimits(ToHttpLimits(limits), limits.idle_timeout,
+                                   limits.header_timeout);
+  }
+}
+
 auto DrainEntry(EntryState& state) -> void {
   if (state.draining_since) {
     return;
@@ -249,13 +324,7 @@
     scheduler.leaving = true;
   }
   // Lets the origin instances send further jobs to other groups.
-  HeartbeatMessage leaving{.configuration_version = state.routes.version,
-                           .groups = {},
-                           .reply = true};
-  for (const auto& [group, scheduler] : state.schedulers) {
-    leaving.groups.push_back(StatusOf(state, group));
-  }
-  state.link->Broadcast(leaving);
+  state.link->Broadcast(MakeHeartbeat(state, true));
 }
 
 auto ReloadEntry(EntryState& state) -> void {
--- a/main/entry/group_flow.cc
+++ b/main/entry/group_flow.cc
@@ -6,6 +6,7 @@
 
 #include "core/log/log.h"
 #include "main/entry/entry_instance.h"
+#include "main/entry/evacuation_flow.h"
 #include "main/entry/job_flow.h"
 #include "main/entry/succession_flow.h"
 #include "main/entry/suspension.h"
@@ -74,8 +75,12 @@
       !MayLog(budget, BootClock::now())) {
     return;
   }
+  const auto displaced_by = command.displaced_by
+                                ? platform::ToString(*command.displaced_by)
+                                : std::string();
   Log(LogLevel::kInfo, command.redirected ? "job_passed_on" : "job_ended",
       {{"job", platform::ToString(command.result.name)},
+       {"displaced_by", displaced_by},
        {"group", group},
        {"outcome", OutcomeName(command.result.outcome)},
        {"tasks", command.tasks},
@@ -91,6 +96,9 @@
              const std::string& group,
              const ResultCommand& command) -> void {
   LogJobEnd(state, group, command);
+  if (command.withheld) {
+    state.metrics.CountEvent("start_withheld");
+  }
   if (command.origin == 0) {
     const auto token = state.succession.groups[group].holder->token;
     IntakeCommands commands;
@@ -206,8 +214,14 @@
   const auto now = BootClock::now();
   const auto stable =
       !workers.empty() && now - state.group_changed_at[group] >= kStableAfter;
+  ApplyEvacuationToTerm(state, group, commands);
   BeginTerm(state.schedulers[group], token * kTokensPerTerm, workers, stable,
             now, commands);
+  const auto ended = state.evacuation_ended_at.find(group);
+  if (ended != state.evacuation_ended_at.end() &&
+      now - ended->second < kReturnWarmUp) {
+    StartWarmUp(state.schedulers[group], now);
+  }
   RunSchedulerCommands(state, group, commands);
   RefreshGroupView(state, group);
 }
@@ -219,12 +233,14 @@
   RefreshGroupView(state, group);
 }
 
-auto OnWorkerReport(EntryState& state, const WorkerEntry& entry) -> void {
+auto OnWorkerReport(EntryState& state, WorkerEntry entry) -> void {
+  const auto now = BootClock::now();
   state.departed_at.erase(entry.id);
   if (!state.directory.contains(entry.id)) {
-    state.group_changed_at[GroupOf(entry)] = BootClock::now();
+    state.group_changed_at[GroupOf(entry)] = now;
   }
   auto& known = state.directory[entry.id];
+  SetColdUntil(entry, &known, now);
   if (known == entry) {
     return;
   }
@@ -234,7 +250,7 @@
     return;
   }
   SchedulerCommands commands;
-  OnWorkerEntry(it->second, entry, BootClock::now(), commands);
+  OnWorkerEntry(it->second, entry, now, commands);
   RunSchedulerCommands(state, it->first, commands);
 }
 
--- a/peers/handover/handover_codec.cc
+++ b/peers/handover/handover_codec.cc
@@ -35,7 +35,7 @@
   constexpr int32_t kMaxTasks = 1'000'000;
   constexpr int64_t kMaxTimeMs = 1'000'000'000;
   return IsWithin(in.count, kMaxTasks) && in.submission >= 0 &&
-         in.max_attempts >= 0 &&
+         in.max_attempts >= 0 && in.priority >= 0 &&
          IsWithin(in.cpu_millis, kMaxResources.cpu_millis) &&
          IsWithin(in.memory_mb, kMaxResources.memory_mb) &&
          IsWithin(in.accelerators, kMaxResources.accelerators) &&
@@ -96,6 +96,23 @@
   return out;
 }
 
+auto ToWire(const Evacuation& it) -> wire::WireEvacuation {
+  wire::WireEvacuation out;
+  out.zone = it.zone;
+  out.version = static_cast<int64_t>(it.version);
+  out.active = it.active;
+  return out;
+}
+
+auto FromWire(const wire::WireEvacuation& in) -> std::optional<Evacuation> {
+  if (in.zone.empty() || in.version <= 0) {
+    return std::nullopt;
+  }
+  return Evacuation{.zone = in.zone,
+                    .version = static_cast<uint64_t>(in.version),
+                    .active = in.active};
+}
+
 auto EncodeBody(const HelloMessage& it, wire::WireHandover& out) -> void {
   wire::WireHello hello;
   hello.sender = ToWire(it.sender);
@@ -110,6 +127,15 @@
     heartbeat.groups.push_back(ToWire(group));
   }
   heartbeat.reply = it.reply;
+  // Without evacuations the field is absent, and the message is as earlier
+  // versions send it.
+  if (!it.evacuations.empty()) {
+    std::vector<wire::WireEvacuation> evacuations;
+    for (const auto& record : it.evacuations) {
+      evacuations.push_back(ToWire(record));
+    }
+    heartbeat.__set_evacuations(evacuations);
+  }
   out.__set_heartbeat(heartbeat);
 }
 
@@ -133,6 +159,7 @@
   offer.submission = static_cast<int32_t>(from.submission);
   offer.may_run_elsewhere = from.may_run_elsewhere;
   offer.at_once = from.immediate_only;
+  offer.priority = static_cast<int32_t>(from.priority);
   offer.group = it.group;
   out.__set_offer(offer);
 }
@@ -151,6 +178,9 @@
   result.retry_after_ms = it.result.retry_after.count();
   result.submission = static_cast<int32_t>(it.result.submission);
   result.status = ToWire(it.status);
+  if (it.result.evacuated) {
+    result.__set_evacuated(true);
+  }
   out.__set_result(result);
 }
 
@@ -219,6 +249,13 @@
     out.groups.push_back(FromWire(it));
   }
   out.reply = in.reply;
+  for (const auto& it : in.evacuations) {
+    const auto record = FromWire(it);
+    if (!record) {
+      return std::nullopt;
+    }
+    out.evacuations.push_back(*record);
+  }
   return out;
 }
 
@@ -246,6 +283,7 @@
   offer.submission = static_cast<uint32_t>(in.submission);
   offer.may_run_elsewhere = in.may_run_elsewhere;
   offer.immediate_only = in.at_once;
+  offer.priority = static_cast<uint32_t>(in.priority);
   return out;
 }
 
@@ -260,6 +298,7 @@
   out.result.outcome = static_cast<JobOutcome>(in.outcome);
   out.result.retry_after = milliseconds(in.retry_after_ms);
   out.result.submission = static_cast<uint32_t>(in.submission);
+  out.result.evacuated = in.__isset.evacuated && in.evacuated;
   out.status = FromWire(in.status);
   return out;
 }
--- a/servers/scheduling/dispatching.cc
+++ b/servers/scheduling/dispatching.cc
@@ -32,6 +32,7 @@
   ++job.uncertain;
   ++state.counters.starts;
   RecordUsage(state, job.offer.kind, RunTimeOf(state, job), now);
+  RecordStarted(state.floors, job.floor, job.task_work, now);
   // Beside a run that must end, the lease that was granted before is used.
   const auto lease =
       HasRunToEnd(worker) ? worker.leased_until : NextLease(worker, now);
@@ -40,7 +41,8 @@
                      .attempt = task.attempt,
                      .resources = job.offer.needs,
                      .state = RunState::kOrdered,
-                     .ordered_at = now});
+                     .ordered_at = now,
+                     .expected = ExpectedOn(state, job, worker)});
   out.push_back(StartCommand{.target = TargetOf(state, worker),
                              .task = name,
                              .attempt = task.attempt,
@@ -132,6 +134,14 @@
   return job.forecast.median;
 }
 
+auto ExpectedOn(const Scheduler& state,
+                const ScheduledJob& job,
+                const WorkerAccount& worker) -> microseconds {
+  const auto work = static_cast<double>(RunTimeOf(state, job).count());
+  return microseconds(
+      static_cast<int64_t>(work / SpeedOf(state.run_times, worker.entry)));
+}
+
 static auto RequestFor(const Scheduler& state,
                        const ScheduledJob& job,
                        const std::string& avoid) -> PlacementRequest {
@@ -183,6 +193,8 @@
 
 auto StartWaitingTasks(Scheduler& state, Instant now, SchedulerCommands& out)
     -> void {
+  WithholdStarts(state, now, out);
+  ForgetColdSpeeds(state, now);
   for (auto* job : WaitingJobs(state, now)) {
     StartTasks(state, *job, now, out);
   }
--- a/servers/scheduling/job.h
+++ b/servers/scheduling/job.h
@@ -72,6 +72,7 @@
   // Set when the group must refuse the job immediately unless all its tasks can
   // start now.
   bool immediate_only = false;
+  uint32_t priority = 0;  // of the route; 0 is the most important
 };
 
 enum class JobOutcome : uint8_t {
@@ -89,6 +90,9 @@
   JobOutcome outcome = JobOutcome::kRefused;
   milliseconds retry_after{};  // for a refusal: when capacity is expected
   uint32_t submission = 0;     // copied from the offer that it answers
+  // Set with a refusal when the job was given back because the group is
+  // evacuated: its origin offers it to other groups.
+  bool evacuated = false;
 };
 
 // Connection of the instance that handed a job over (its origin). 0 is the
--- a/servers/scheduling/job_events.cc
+++ b/servers/scheduling/job_events.cc
@@ -6,10 +6,14 @@
 #include "servers/scheduling/dispatching.h"
 #include "servers/scheduling/give_up.h"
 #include "servers/scheduling/scheduler.h"
+#include "servers/scheduling/waiting.h"
 
 namespace boragecroft {
 namespace {
 
+// Time after which a holder that has got no offer in its term reports idle
+// workers as room. Under load the first offer comes within milliseconds.
+constexpr milliseconds kFirstOfferWait{1000};
 // Weight of a new offer in the moving average of the needs of a task, in
 // percent.
 constexpr int64_t kTypicalNeedsWeightPercent = 5;
@@ -21,6 +25,7 @@
   typical.memory_mb = offer.needs.memory_mb;
   typical.accelerators = offer.needs.accelerators;
   state.typical_service = offer.service;
+  state.awaits_first_offer = false;
 }
 
 // Assigns a job that was handed over before, on this or another connection, to
@@ -37,11 +42,14 @@
              Instant now) -> ScheduledJob {
   ScheduledJob job;
   const auto fastest =
-      SpeedOfFastest(state.workers, state.run_times, offer.service);
+      WarmSpeedOfFastest(state.workers, state.run_times, offer.service);
   job.forecast =
       MakeForecast(state.run_times, offer.kind, offer.run_estimate, fastest);
-  job.times = PlanTimes(offer, job.forecast.median, now);
+  const auto run_time = job.forecast.median;
+  job.times = PlanTimes(offer, run_time, detail::RulesOf(state).waiting, now);
   job.offered_at = now;
+  job.task_work = std::chrono::duration<double, std::milli>(run_time).count() *
+                  static_cast<double>(offer.needs.cpu_millis) / 1000;
   job.origin = origin;
   job.spec = std::make_shared<const std::string>(std::move(offer.spec));
   job.tasks.resize(offer.count);
@@ -56,20 +64,6 @@
   return job;
 }
 
-auto MakeRedirect(const ScheduledJob& job, Instant now) -> ResultCommand {
-  const auto since_arrival = [&](Instant at) {
-    return std::chrono::duration_cast<milliseconds>(at - job.times.arrived);
-  };
-  return ResultCommand{.origin = job.origin,
-                       .result = {.name = job.offer.name,
-                                  .outcome = JobOutcome::kRefused,
-                                  .submission = job.offer.submission},
-                       .redirected = true,
-                       .tasks = job.offer.count,
-                       .age = since_arrival(now),
-                       .objective = since_arrival(job.times.objective)};
-}
-
 auto GiveUp(Scheduler& state,
             ScheduledJob& job,
             GiveUpReason reason,
@@ -87,6 +81,20 @@
   detail::EndJob(state, job, outcome, now, out);
 }
 
+// Refuses the waiting jobs that would start too late after a job has arrived.
+auto TurnAwayLateJobs(Scheduler& state,
+                      JobName arrived,
+                      Instant now,
+                      SchedulerCommands& out) -> void {
+  for (const auto& it : detail::JobsToTurnAway(state, arrived, now)) {
+    GiveUp(state, state.jobs.at(it.job), GiveUpReason::kNoRoom, now, out);
+    if (it.displaced_by) {
+      ++state.counters.jobs_displaced;
+      std::get<ResultCommand>(out.back()).displaced_by = it.displaced_by;
+    }
+  }
+}
+
 }  // namespace
 
 auto OnOffer(Scheduler& state,
@@ -101,6 +109,11 @@
   }
   ++state.counters.jobs_offered;
   const auto ending = it != state.jobs.end();
+  if (state.evacuated_since && !ending && offer.count > 0) {
+    const auto job = MakeJob(state, origin, std::move(offer), now);
+    detail::GiveBack(state, job, now, out);
+    return;
+  }
   if (ending || state.leaving || offer.count == 0) {
     const auto outcome = ending || offer.may_run_elsewhere
                              ? JobOutcome::kStopped
@@ -112,6 +125,7 @@
     return;
   }
   UpdateTypicalNeeds(state, offer);
+  state.has_priorities = state.has_priorities || offer.priority > 0;
   const auto name = offer.name;
   auto job = MakeJob(state, origin, std::move(offer), now);
   // A job that may still run elsewhere must not be reported as not run.
@@ -119,7 +133,7 @@
       job.offer.immediate_only && !job.offer.may_run_elsewhere;
   if (immediate_only && !detail::CanStartAllTasks(state, job, now)) {
     ++state.counters.jobs_redirected;
-    out.push_back(MakeRedirect(job, now));
+    out.push_back(detail::MakeRedirect(job, now));
     return;
   }
   auto& accepted = state.jobs.emplace(name, std::move(job)).first->second;
@@ -127,7 +141,11 @@
     GiveUp(state, accepted, GiveUpReason::kNoChance, now, out);
     return;
   }
+  accepted.floor =
+      RecordOffered(state.floors, accepted.offer.kind,
+                    accepted.task_work * accepted.offer.count, now);
   detail::StartWaitingTasks(state, now, out);
+  TurnAwayLateJobs(state, name, now, out);
 }
 
 auto OnCancel(Scheduler& state,
@@ -165,6 +183,8 @@
 }
 
 auto OnTime(Scheduler& state, Instant now, SchedulerCommands& out) -> void {
+  state.awaits_first_offer =
+      state.typical_service.empty() && now - state.since >= kFirstOfferWait;
   std::vector<JobName> due;
   for (const auto& [name, job] : state.jobs) {
     if (!job.ended && detail::GiveUpAt(job) <= now) {
@@ -197,9 +217,15 @@
   for (const auto& [name, job] : state.jobs) {
     if (!job.ended) {
       consider(detail::GiveUpAt(job));
+      if (const auto at = detail::GraceEndOf(state, job)) {
+        consider(*at);
+      }
     }
   }
   for (const auto& [id, worker] : state.workers) {
+    if (worker.warm_up && !worker.warm_up->expects_warm) {
+      consider(worker.warm_up->cold_until);
+    }
     if (worker.reachable || !worker.listed) {
       continue;
     }
@@ -213,12 +239,26 @@
   return next;
 }
 
+// Returns the free slots to report. Before the first offer of a term the size
+// of a task is not known, and one slot for each idle worker is reported once
+// no offer has come for a while: a group without free slots gets no jobs while
+// another one has some, so it would never get its first offer.
+static auto FreeSlotsOf(const Scheduler& state) -> FreeSlots {
+  if (state.awaits_first_offer) {
+    const auto idle = CountIdleWorkers(state.workers);
+    return {.all = idle, .fast = idle};
+  }
+  return CountFreeSlots(state.workers, state.run_times, state.typical_service,
+                        state.typical_needs);
+}
+
 auto LoadOf(const Scheduler& state) -> GroupLoad {
   GroupLoad load;
-  const auto slots = CountFreeSlots(state.workers, state.run_times,
-                                    state.typical_service, state.typical_needs);
-  load.free_slots = slots.all;
-  load.fast_slots = slots.fast;
+  const auto slots = FreeSlotsOf(state);
+  if (!state.evacuated_since) {
+    load.free_slots = slots.all;
+    load.fast_slots = slots.fast;
+  }
   for (const auto& [name, job] : state.jobs) {
     if (!job.ended) {
       ++load.jobs;
--- a/servers/scheduling/placement.h
+++ b/servers/scheduling/placement.h
@@ -39,6 +39,9 @@
 // Reports whether the worker may receive start orders for tasks of `service`.
 auto IsUsable(const WorkerAccount& worker, const std::string& service) -> bool;
 
+// A worker that warms up has room for one task at a time in all of the
+// functions below.
+
 // Returns the worker for a task, or null when no usable worker has free
 // resources for it or the task should wait for a faster one.
 auto PlaceTask(WorkerAccounts& workers,
@@ -51,6 +54,12 @@
                     const RunTimes& times,
                     const std::string& service) -> double;
 
+// The same, with workers that warm up at the speed that they will have: a job
+// must not be refused for the speed of a worker that is cold for a moment.
+auto WarmSpeedOfFastest(const WorkerAccounts& workers,
+                        const RunTimes& times,
+                        const std::string& service) -> double;
+
 // Number of tasks that fit on the usable workers now.
 struct FreeSlots {
   uint32_t all = 0;
@@ -61,6 +70,9 @@
                     const std::string& service,
                     const Resources& needs) -> FreeSlots;
 
+// Returns the number of usable workers without a run, of any service.
+auto CountIdleWorkers(const WorkerAccounts& workers) -> uint32_t;
+
 // Returns how many tasks with these needs the usable workers can run at the
 // same time when nothing else runs on them.
 auto CountSlots(const WorkerAccounts& workers,
--- a/servers/scheduling/run_watch.cc
+++ b/servers/scheduling/run_watch.cc
@@ -21,14 +21,6 @@
 // ms.
 constexpr milliseconds kMoveTime{55};
 
-auto ExpectedOn(const Scheduler& state,
-                const ScheduledJob& job,
-                const WorkerAccount& worker) -> microseconds {
-  const auto work = static_cast<double>(RunTimeOf(state, job).count());
-  return microseconds(
-      static_cast<int64_t>(work / SpeedOf(state.run_times, worker.entry)));
-}
-
 // Reports whether the ended tasks of the job show that the run ends after its
 // caller has left, or so shortly before that it probably does.
 auto WillEndTooLate(const ScheduledJob& job,
@@ -62,7 +54,7 @@
 }  // namespace
 
 auto RecordFinishedRun(Scheduler& state,
-                       const WorkerAccount& worker,
+                       WorkerAccount& worker,
                        const Run& run,
                        Instant now) -> void {
   const auto it = state.jobs.find(run.task.job);
@@ -72,6 +64,11 @@
   auto& job = it->second;
   const auto run_time =
       std::chrono::duration_cast<microseconds>(now - run.ordered_at);
+  if (worker.warm_up) {
+    RecordRunWhileWarmingUp(state, worker, run.ordered_at, run_time,
+                            RunTimeOf(state, job));
+    return;
+  }
   const auto speed = SpeedOf(state.run_times, worker.entry);
   AddEndedTask(job.forecast,
                microseconds(static_cast<int64_t>(
@@ -106,6 +103,10 @@
     if (!overdue && !WillEndTooLate(job, run, expected)) {
       continue;
     }
+    // The task could not start anywhere else in this group.
+    if (state.evacuated_since) {
+      continue;
+    }
     const auto* other =
         PlaceTaskOf(state, job, worker.entry.id, now + kMoveTime);
     if (other != nullptr &&
--- a/servers/scheduling/scheduler.h
+++ b/servers/scheduling/scheduler.h
@@ -16,6 +16,7 @@
 #include <variant>
 #include <vector>
 
+#include "servers/scheduling/displacement.h"
 #include "servers/scheduling/forecast.h"
 #include "servers/scheduling/job.h"
 #include "servers/scheduling/objective.h"
@@ -75,8 +76,14 @@
   OriginId origin = 0;
   JobResult result;
   // Set when the job was refused only because not all its tasks could start
-  // immediately: its origin asks the next group.
+  // immediately, or because the group is evacuated: its origin asks the next
+  // group.
   bool redirected = false;
+  // Set when the job ended because the group is evacuated: tasks that it needed
+  // did not start.
+  bool withheld = false;
+  // Set when the job was refused for this other one, which needs the room.
+  std::optional<JobName> displaced_by;
   // Progress of the job, for the log.
   uint32_t tasks = 0;
   uint32_t done = 0;
@@ -138,7 +145,10 @@
   // unless one of its tasks starts or ends before.
   Instant chance_gone_at;
   GiveUpReason reason = GiveUpReason::kNone;
-  double chance = 1;    // when it was given up
+  double chance = 1;  // when it was given up
+  // Core-milliseconds of one task at speed 1, as expected when it was offered.
+  double task_work = 0;
+  FloorShare floor;
   bool ended = false;   // its result has been sent; its runs are being stopped
   Instant orphaned_at;  // when its origin was lost; zero while it is connected
 };
@@ -150,6 +160,7 @@
   uint64_t jobs_refused = 0;
   uint64_t jobs_redirected = 0;  // not all tasks could start immediately: the
                                  // origin asks another group
+  uint64_t jobs_displaced = 0;  // refused for another job; also in jobs_refused
   uint64_t jobs_stopped = 0;
   uint64_t jobs_hopeless = 0;  // refused without a chance to end in time
   uint64_t jobs_given_up = 0;  // stopped early, once the chance had gone
@@ -171,6 +182,14 @@
   uint64_t token = 0;    // first fencing token of this term
   Instant since;         // start of this term
   bool leaving = false;  // set when the holder accepts no more jobs
+  // When this holder learned that its group is evacuated; empty while the group
+  // is not.
+  std::optional<Instant> evacuated_since;
+  // From then on, time for which jobs that have begun may still start tasks.
+  milliseconds started_job_grace{};
+  // Jobs that were given back to their origins in the present evacuation, or
+  // the last one.
+  uint64_t jobs_given_back = 0;
   // Set when no worker was added or removed recently, so that none is missing
   // for a moment only.
   bool workers_stable = false;
@@ -186,7 +205,10 @@
   RetryAdvice retry_advice;
   Resources typical_needs{.cpu_millis = 1000};  // of a task, from recent offers
   std::string typical_service;
+  bool awaits_first_offer = false;  // no offer for a while since the term began
   std::unordered_map<std::string, KindUsage> kind_usage;
+  Floors floors;
+  bool has_priorities = false;  // set once a job had a priority other than 0
   SchedulerCounters counters;
 };
 
@@ -214,6 +236,8 @@
                     Instant now,
                     SchedulerCommands& out) -> void;
 
+// Handles an offered job: it starts, waits or is refused. A waiting job that
+// has started no task may be refused for it.
 auto OnOffer(Scheduler& state,
              OriginId origin,
              JobOffer offer,
@@ -257,6 +281,16 @@
                    Instant now,
                    SchedulerCommands& out) -> void;
 
+// Handles that the group is evacuated. Jobs without a start are given back to
+// their origins, and none is started from now on. Jobs that have begun may
+// start their other tasks within the grace period; one that still needs a start
+// after it is stopped. Runs in progress end normally.
+auto OnEvacuated(Scheduler& state, Instant now, SchedulerCommands& out) -> void;
+// Handles that the evacuation of the group has ended. Its workers may have
+// become cold and start slowly.
+auto OnEvacuationEnded(Scheduler& state, Instant now, SchedulerCommands& out)
+    -> void;
+
 // Performs the actions that are due by time.
 auto OnTime(Scheduler& state, Instant now, SchedulerCommands& out) -> void;
 // Returns when OnTime must be called next; empty when no action is pending.
@@ -270,6 +304,9 @@
   uint32_t jobs = 0;
 };
 auto LoadOf(const Scheduler& state) -> GroupLoad;
+// Returns the number of runs that may be in progress on the group's workers,
+// including those of earlier holders that are known.
+auto CountRuns(const Scheduler& state) -> size_t;
 
 }  // namespace boragecroft
 
--- a/servers/scheduling/worker_events.cc
+++ b/servers/scheduling/worker_events.cc
@@ -67,6 +67,7 @@
     it.settled_at = Instant();
   }
   worker.entry.started_at = started_at;
+  detail::UpdateWarmUpAtRestart(worker, now);
   worker.fenced = false;
   worker.ended_seen = 0;
   worker.ended_acked = 0;
@@ -146,7 +147,11 @@
   auto counters = state.counters;
   auto policy = std::move(state.policy);
   auto run_times = std::move(state.run_times);
+  const auto evacuated_since = state.evacuated_since;
+  const auto grace = state.started_job_grace;
   state = Scheduler();
+  state.evacuated_since = evacuated_since;
+  state.started_job_grace = grace;
   state.policy = std::move(policy);
   state.counters = counters;
   state.run_times = std::move(run_times);
@@ -164,6 +169,7 @@
                    SchedulerCommands& out) -> void {
   auto [it, is_new] = state.workers.try_emplace(entry.id);
   auto& worker = it->second;
+  const auto before = worker.entry;
   if (is_new) {
     worker.entry = entry;
     worker.clock_read_at = now;
@@ -174,6 +180,7 @@
     return;
   }
   worker.entry = entry;
+  detail::UpdateWarmUp(state, worker, is_new ? nullptr : &before, now);
   worker.listed = true;
   detail::RenewIfNeeded(state, worker, now, out);
   detail::StartWaitingTasks(state, now, out);
--- a/tests/platform/platform_formats_test.cc
+++ b/tests/platform/platform_formats_test.cc
@@ -4,6 +4,7 @@
 
 #include "platform/base64.h"
 #include "platform/configuration.h"
+#include "platform/evacuation_rows.h"
 #include "platform/group_rows.h"
 #include "platform/ingress.h"
 #include "platform/settings.h"
@@ -36,6 +37,56 @@
   EXPECT_EQ(settings.error()[0].found, "here");
 }
 
+TEST(PlatformSettingsTest, ParsesBoundOfEvacuations) {
+  const std::string text =
+      "node_name=f-1\nzone=north\nlisten.frontend=10.0.0.1:80\n"
+      "listen.readiness=10.0.0.1:81\nlisten.control=10.0.0.1:82\n"
+      "platform.addr=10.0.0.2:80\n";
+  EXPECT_EQ(ParseSettings(text).value().evacuation_bound, milliseconds{0});
+  EXPECT_EQ(ParseSettings(text + "bounds.evacuate_ms=5000\n")
+                .value()
+                .evacuation_bound,
+            milliseconds{5000});
+  EXPECT_TRUE(ParseSettings(text + "bounds.evacuate_ms=5s\n").has_error());
+}
+
+TEST(EvacuationRowTest, NamesZoneInItsKey) {
+  const auto row =
+      DecodeEvacuation({.key = "evacuate/a/b", .value = "{}", .version = 7});
+  ASSERT_TRUE(row);
+  EXPECT_EQ(row->evacuation, (Evacuation{"a/b", 7, true}));
+  EXPECT_TRUE(row->value_readable);
+  const auto deleted =
+      DecodeEvacuation({.key = "evacuate/a", .version = 8, .deleted = true});
+  ASSERT_TRUE(deleted);
+  EXPECT_EQ(deleted->evacuation, (Evacuation{"a", 8, false}));
+  EXPECT_TRUE(deleted->value_readable);
+  EXPECT_FALSE(DecodeEvacuation({.key = "config", .value = "{}"}));
+  EXPECT_FALSE(DecodeEvacuation({.key = "evacuate", .value = "{}"}));
+  const auto written = EncodeEvacuation({"a/b", 7, true});
+  EXPECT_EQ(DecodeEvacuation(written)->evacuation, row->evacuation);
+}
+
+// Guards against starts in a zone whose operator made a mistake in the value.
+TEST(EvacuationRowTest, EvacuatesItsZoneWhenItsValueIsUnreadable) {
+  for (const auto& value :
+       {std::optional<std::string>(), std::optional<std::string>("[]"),
+        std::optional<std::string>("{")}) {
+    const auto row = DecodeEvacuation({.key = "evacuate/a", .value = value});
+    ASSERT_TRUE(row);
+    EXPECT_TRUE(row->evacuation.active);
+    EXPECT_FALSE(row->value_readable);
+  }
+}
+
+TEST(AllZonesEvacuated, IsAnsweredAsNotRunWithTimeOfRetry) {
+  const auto response = EncodeAllEvacuated(milliseconds{5000});
+  EXPECT_EQ(response.status, 503);
+  EXPECT_NE(response.body.find("not run: all availability zones"),
+            std::string::npos);
+  EXPECT_EQ(FindHeader(response.headers, "Retry-After"), "5");
+}
+
 TEST(Base64Test, RoundTripsAndRejectsInvalidText) {
   for (const std::string text : {"", "n", "no", "nod", "node", "\xff\x00z"}) {
     EXPECT_EQ(DecodeBase64(EncodeBase64(text)), text);
@@ -58,6 +109,25 @@
   EXPECT_EQ(table.value().limits.max_body_bytes, 1000);
 }
 
+// Guards against limits of op/config that are read and not applied, or that a
+// row leaves out.
+TEST(PlatformConfigurationTest, ReadsLimitsOfRequests) {
+  const auto read = [](const std::string& limits) {
+    return DecodeConfiguration(R"({"version":1,"routes":[],"services":[],)"
+                               R"("limits":)" +
+                               limits + "}")
+        .value()
+        .limits;
+  };
+  const auto given = read(R"({"max_header_bytes":9000,"header_timeout_ms":70,)"
+                          R"("idle_timeout_ms":80})");
+  EXPECT_EQ(given.max_header_bytes, 9000);
+  EXPECT_EQ(given.max_body_bytes, 262144);
+  EXPECT_EQ(given.header_timeout, milliseconds{70});
+  EXPECT_EQ(given.idle_timeout, milliseconds{80});
+  EXPECT_EQ(read(R"({"max_header_bytes":0})").max_header_bytes, 16384);
+}
+
 TEST(PlatformConfigurationTest, RejectsInvalidFieldAndInvalidJson) {
   EXPECT_TRUE(DecodeConfiguration(R"({"version":"x"})").has_error());
   EXPECT_TRUE(DecodeConfiguration("{").has_error());
--- a/tests/servers/scheduling/virtual_workers.h
+++ b/tests/servers/scheduling/virtual_workers.h
@@ -8,7 +8,9 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "servers/scheduling/scheduler.h"
@@ -59,6 +61,9 @@
   bool alive = true;
 };
 
+// Returns the run time of a task that starts now on the worker of this index.
+using RunTimeRule = std::function<milliseconds(size_t worker, TaskName task)>;
+
 class VirtualFleet {
  public:
   VirtualFleet(uint64_t seed, VirtualFaults faults, size_t workers);
@@ -73,6 +78,15 @@
   // to another availability zone after 1.3 s, so its runs must have ended then.
   auto Withdraw(VirtualHolder& holder, JobName job) -> void;
   auto RestartWorker(size_t index) -> void;
+  // Evacuates the group at all holders, those that follow included.
+  auto Evacuate() -> void;
+  auto EndEvacuation() -> void;
+  // Replaces the run times that are drawn.
+  auto SetRunTimes(RunTimeRule rule) -> void { run_times_ = std::move(rule); }
+  // Calls `listener` for each result of a holder.
+  auto OnResult(std::function<void(const ResultCommand&)> listener) -> void {
+    on_result_ = std::move(listener);
+  }
   auto Draw(int bound) -> int;
 
   auto Now() const -> Instant { return now_; }
@@ -94,6 +108,7 @@
                const std::function<OrderAnswer()>& carry_out,
                const std::function<void(OrderAnswer)>& answer) -> void;
   auto Start(const StartCommand& order) -> OrderAnswer;
+  auto RunTimeOf(const VirtualWorker& worker, TaskName task) -> milliseconds;
   auto Stop(const StopCommand& order) -> OrderAnswer;
   auto Renew(size_t holder, const RenewCommand& order, Instant sent) -> void;
   auto Report(const VirtualWorker& worker) const -> RunReport;
@@ -101,6 +116,7 @@
   auto EndRun(VirtualWorker& worker, size_t index, RunEnd end) -> void;
   auto CheckInvariants(const VirtualWorker& worker, TaskName task) -> void;
   auto CheckWithdrawn(const VirtualRun& run) -> void;
+  auto CheckEvacuated(TaskName task) -> void;
   auto FindWorker(const std::string& id) -> VirtualWorker&;
 
   std::mt19937_64 random_;
@@ -110,7 +126,11 @@
   std::vector<std::unique_ptr<VirtualHolder>> holders_;
   std::multimap<Instant, std::function<void()>> event_queue_;
   std::map<JobName, Instant> withdrawn_at_;
+  std::optional<Instant> evacuated_since_;
+  std::set<JobName> given_back_;  // jobs that were answered as not run
   VirtualResult result_;
+  RunTimeRule run_times_;  // empty: drawn
+  std::function<void(const ResultCommand&)> on_result_;
 };
 
 }  // namespace boragecroft
