--- a/servers/scheduling/job_events.cc
+++ b/servers/scheduling/job_events.cc
@@ -4,15 +4,13 @@
 #include <utility>
 
 #include "servers/scheduling/dispatching.h"
+#include "servers/scheduling/give_up.h"
 #include "servers/scheduling/scheduler.h"
 #include "servers/scheduling/waiting.h"
 
 namespace boragecroft {
 namespace {
 
-// Time for which the jobs of a lost origin continue, so that it can reconnect
-// and hand them over again.
-constexpr milliseconds kOriginGrace{200};
 // Time after which a holder that has got no offer in its term reports idle
 // workers as room. Under load the first offer comes within milliseconds.
 constexpr milliseconds kFirstOfferWait{1000};
@@ -43,8 +41,11 @@
              JobOffer offer,
              Instant now) -> ScheduledJob {
   ScheduledJob job;
-  const auto run_time =
-      ExpectedRunTime(state.run_times, offer.kind, offer.run_estimate);
+  const auto fastest =
+      WarmSpeedOfFastest(state.workers, state.run_times, offer.service);
+  job.forecast =
+      MakeForecast(state.run_times, offer.kind, offer.run_estimate, fastest);
+  const auto run_time = job.forecast.median;
   job.times = PlanTimes(offer, run_time, detail::RulesOf(state).waiting, now);
   job.offered_at = now;
   job.task_work = std::chrono::duration<double, std::milli>(run_time).count() *
@@ -59,19 +60,24 @@
     it.attempt = offer.submission * kAttemptsPerSubmission;
   }
   job.offer = std::move(offer);
+  detail::UpdateChanceGoneAt(job);
   return job;
 }
 
-auto MayHaveRun(const ScheduledJob& job) -> bool {
-  return job.uncertain > 0 || job.offer.may_run_elsewhere;
-}
-
 auto GiveUp(Scheduler& state,
             ScheduledJob& job,
+            GiveUpReason reason,
             Instant now,
             SchedulerCommands& out) -> void {
+  const auto may_have_run = detail::MayHaveRun(job);
   const auto outcome =
-      MayHaveRun(job) ? JobOutcome::kStopped : JobOutcome::kRefused;
+      may_have_run ? JobOutcome::kStopped : JobOutcome::kRefused;
+  job.reason = reason;
+  job.chance = detail::ChanceOf(job, now);
+  if (reason == GiveUpReason::kNoChance) {
+    ++(may_have_run ? state.counters.jobs_given_up
+                    : state.counters.jobs_hopeless);
+  }
   detail::EndJob(state, job, outcome, now, out);
 }
 
@@ -81,7 +87,7 @@
                       Instant now,
                       SchedulerCommands& out) -> void {
   for (const auto& it : detail::JobsToTurnAway(state, arrived, now)) {
-    GiveUp(state, state.jobs.at(it.job), now, out);
+    GiveUp(state, state.jobs.at(it.job), GiveUpReason::kNoRoom, now, out);
     if (it.displaced_by) {
       ++state.counters.jobs_displaced;
       std::get<ResultCommand>(out.back()).displaced_by = it.displaced_by;
@@ -89,15 +95,6 @@
   }
 }
 
-// Returns the time at which the job is given up unless it changes before.
-auto GiveUpAt(const ScheduledJob& job) -> Instant {
-  auto at = job.uncertain == 0 ? job.times.refuse_at : job.times.stop_at;
-  if (job.orphaned_at != Instant()) {
-    at = std::min(at, job.orphaned_at + kOriginGrace);
-  }
-  return at;
-}
-
 }  // namespace
 
 auto OnOffer(Scheduler& state,
@@ -140,9 +137,8 @@
     return;
   }
   auto& accepted = state.jobs.emplace(name, std::move(job)).first->second;
-  if (!accepted.offer.may_run_elsewhere &&
-      detail::IsHopeless(state, accepted, now)) {
-    GiveUp(state, accepted, now, out);
+  if (!accepted.offer.may_run_elsewhere && detail::IsHopeless(accepted, now)) {
+    GiveUp(state, accepted, GiveUpReason::kNoChance, now, out);
     return;
   }
   accepted.floor =
@@ -162,7 +158,7 @@
       it->second.ended) {
     return;
   }
-  GiveUp(state, it->second, now, out);
+  GiveUp(state, it->second, GiveUpReason::kWithdrawn, now, out);
 }
 
 auto OnCancelledByCaller(Scheduler& state,
@@ -173,6 +169,7 @@
   if (it == state.jobs.end() || it->second.ended) {
     return false;
   }
+  it->second.reason = GiveUpReason::kWithdrawn;
   detail::EndJob(state, it->second, JobOutcome::kCancelled, now, out);
   return true;
 }
@@ -190,12 +187,13 @@
       state.typical_service.empty() && now - state.since >= kFirstOfferWait;
   std::vector<JobName> due;
   for (const auto& [name, job] : state.jobs) {
-    if (!job.ended && GiveUpAt(job) <= now) {
+    if (!job.ended && detail::GiveUpAt(job) <= now) {
       due.push_back(name);
     }
   }
   for (const auto name : due) {
-    GiveUp(state, state.jobs.at(name), now, out);
+    auto& job = state.jobs.at(name);
+    GiveUp(state, job, detail::GiveUpReasonOf(job, now), now, out);
   }
   for (auto& [id, worker] : state.workers) {
     if (!worker.reachable && !worker.runs.empty() && ExpiredBy(worker) <= now) {
@@ -218,7 +216,7 @@
   };
   for (const auto& [name, job] : state.jobs) {
     if (!job.ended) {
-      consider(GiveUpAt(job));
+      consider(detail::GiveUpAt(job));
       if (const auto at = detail::GraceEndOf(state, job)) {
         consider(*at);
       }
