Search through all workers only where a decision needs it

By reading, the slow start looked through all workers of the group at each event, and the order of waiting jobs did so twice for each offer. Change: the first search is made only while a worker may be cold, the second only for jobs that may run elsewhere.

--- a/servers/scheduling/scheduler.h
+++ b/servers/scheduling/scheduler.h
@@ -205,6 +205,9 @@
   RetryAdvice retry_advice;
   Resources typical_needs{.cpu_millis = 1000};  // of a task, from recent offers
   std::string typical_service;
+  // Set while a worker may be cold; saves a search through all workers at each
+  // event.
+  bool expects_cold_workers = false;
   bool awaits_first_offer = false;  // no offer for a while since the term began
   std::unordered_map<std::string, KindUsage> kind_usage;
   Floors floors;
--- a/servers/scheduling/waiting.cc
+++ b/servers/scheduling/waiting.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
 #include <tuple>
 
 #include "servers/scheduling/dispatching.h"
@@ -158,11 +159,21 @@
 
 auto WaitingJobs(Scheduler& state, Instant now) -> std::vector<ScheduledJob*> {
   std::vector<std::pair<Rank, ScheduledJob*>> ranked;
-  const auto fence_complete = IsFenceComplete(state);
+  // Few jobs may run elsewhere, and the check searches through all workers.
+  std::optional<bool> fence_complete;
+  const auto is_deferred = [&](const ScheduledJob& job) {
+    if (!job.offer.may_run_elsewhere ||
+        now - job.offered_at >= kEarlierRunWait) {
+      return false;
+    }
+    if (!fence_complete) {
+      fence_complete = IsFenceComplete(state);
+    }
+    return !*fence_complete;
+  };
   for (auto& [name, job] : state.jobs) {
-    const auto deferred = job.offer.may_run_elsewhere && !fence_complete &&
-                          now - job.offered_at < kEarlierRunWait;
-    if (HasWaitingTasks(job) && !deferred && job.orphaned_at == Instant()) {
+    if (HasWaitingTasks(job) && job.orphaned_at == Instant() &&
+        !is_deferred(job)) {
       ranked.emplace_back(RankOf(state, job, now), &job);
     }
   }
--- a/servers/scheduling/warm_up.cc
+++ b/servers/scheduling/warm_up.cc
@@ -21,6 +21,7 @@
 }  // namespace
 
 auto StartWarmUp(Scheduler& state, Instant now) -> void {
+  state.expects_cold_workers = true;
   for (auto& [id, worker] : state.workers) {
     const auto stated = worker.entry.cold_until > now;
     worker.warm_up =
@@ -78,6 +79,8 @@
                   Instant now) -> void {
   const auto was_warming_up = worker.warm_up.has_value();
   worker.warm_up = WarmUpAfterRow(worker.warm_up, before, worker.entry, now);
+  state.expects_cold_workers =
+      state.expects_cold_workers || worker.warm_up.has_value();
   if (worker.warm_up.has_value() != was_warming_up) {
     RemoveWorker(state.run_times, worker.entry.id);
   }
@@ -138,12 +141,20 @@
 }
 
 auto ForgetColdSpeeds(Scheduler& state, Instant now) -> void {
+  if (!state.expects_cold_workers) {
+    return;
+  }
+  state.expects_cold_workers = false;
   for (auto& [id, worker] : state.workers) {
-    if (worker.warm_up && !worker.warm_up->expects_warm &&
-        worker.warm_up->cold_until <= now) {
-      worker.warm_up->expects_warm = true;
-      RemoveWorker(state.run_times, id);
+    if (!worker.warm_up || worker.warm_up->expects_warm) {
+      continue;
     }
+    if (worker.warm_up->cold_until > now) {
+      state.expects_cold_workers = true;
+      continue;
+    }
+    worker.warm_up->expects_warm = true;
+    RemoveWorker(state.run_times, id);
   }
 }
 
