--- /dev/null
+++ b/review/lab-3/cases.h
@@ -0,0 +1,22 @@
+// The cases of the review. Each returns the exit code of its script: 1 when the
+// rule was broken, 0 when it held, 2 when the case could not run.
+#ifndef REVIEW_LAB_3_CASES_H_
+#define REVIEW_LAB_3_CASES_H_
+
+#include "review/lab-3/lab.h"
+
+namespace boragecroft::review {
+
+enum ExitCode { kHeld = 0, kBroken = 1, kCouldNotRun = 2 };
+
+// Workers crash and start again under their ids; some are cut off shortly
+// afterwards and run on.
+auto RunRestartCase(Lab& lab) -> int;
+// Workers crash and start again as another kind, with another capacity.
+auto RunCapacityCase(Lab& lab) -> int;
+// The collector of one instance's log does not read for a while.
+auto RunLogCase(Lab& lab) -> int;
+
+}  // namespace boragecroft::review
+
+#endif  // REVIEW_LAB_3_CASES_H_
--- /dev/null
+++ b/review/lab-3/restart_case.cc
@@ -0,0 +1,111 @@
+#include <array>
+#include <vector>
+
+#include "review/lab-3/cases.h"
+
+namespace boragecroft::review {
+namespace {
+
+constexpr milliseconds kWarmUp{8000};
+constexpr milliseconds kRunTime{100'000};
+constexpr milliseconds kRoundEvery{9000};
+constexpr milliseconds kStoreDownFor{4500};
+constexpr std::array<milliseconds, 2> kCrashAt = {milliseconds{500},
+                                                  milliseconds{1500}};
+constexpr milliseconds kDown{100};
+// Between the first start of the new life and the cut.
+constexpr milliseconds kCutAfter{100};
+constexpr milliseconds kCutFor{2500};
+constexpr milliseconds kPoll{10};
+constexpr int kWorkersPerZone = 8;
+
+// Cuts the worker off shortly after the first start of its new life.
+auto CutOffOnceUsed(Lab& lab, Worker& worker, Instant until) -> void {
+  if (BootClock::now() >= until) {
+    return;
+  }
+  if (worker.runs.empty()) {
+    After(lab, kPoll,
+          [&lab, &worker, until] { CutOffOnceUsed(lab, worker, until); });
+    return;
+  }
+  After(lab, kCutAfter, [&worker] { CutOffWorker(worker); });
+  After(lab, kCutAfter + kCutFor, [&worker] { ReconnectWorker(worker); });
+}
+
+// Crashes an idle worker and starts it again.
+auto RestartIdleWorker(Lab& lab) -> void {
+  std::vector<Worker*> idle;
+  for (const auto& it : lab.workers) {
+    if (it->server && !it->cut && it->runs.empty()) {
+      idle.push_back(it.get());
+    }
+  }
+  if (idle.empty()) {
+    return;
+  }
+  const auto n = static_cast<int64_t>(idle.size());
+  auto& worker = *idle[static_cast<size_t>(Uniform(lab, 0, n - 1))];
+  CrashWorker(worker);
+  After(lab, kDown, [&lab, &worker] {
+    StartWorker(worker);
+    CutOffOnceUsed(lab, worker, BootClock::now() + seconds(2));
+  });
+}
+
+auto SetStore(Lab& lab, standins::StoreMode mode, const char* event) -> void {
+  lab.store.mode = mode;
+  lab.recorder.Write(event);
+}
+
+auto RunRound(Lab& lab, Instant until) -> void {
+  if (BootClock::now() >= until) {
+    return;
+  }
+  After(lab, kRoundEvery, [&lab, until] { RunRound(lab, until); });
+  SetStore(lab, standins::StoreMode::kRefuses, "the store is down");
+  After(lab, kStoreDownFor, [&lab] {
+    SetStore(lab, standins::StoreMode::kUp, "the store is back");
+  });
+  for (const auto at : kCrashAt) {
+    for (auto i = 0; i < 2; ++i) {
+      After(lab, at, [&lab] { RestartIdleWorker(lab); });
+    }
+  }
+}
+
+}  // namespace
+
+auto RunRestartCase(Lab& lab) -> int {
+  lab.zones = {"bilbao", "santander"};
+  ListenAsStore(lab);
+  const RequestKind kind{
+      .prefix = "/pufi791/", .tasks = 4, .work_ms = 900, .priority = 2};
+  Configure(lab, 7, {kind});
+  for (const auto& zone : lab.zones) {
+    for (auto i = 0; i < kWorkersPerZone; ++i) {
+      AddWorker(lab, zone, i);
+    }
+  }
+  for (const auto& zone : lab.zones) {
+    StartInstance(lab, zone, 1);
+    StartInstance(lab, zone, 2);
+  }
+  const auto until = BootClock::now() + kRunTime;
+  After(lab, seconds(3),
+        [&lab, kind, until] { SubmitJobs(lab, kind, 3.5, until); });
+  if (lab.arguments.trouble) {
+    After(lab, kWarmUp, [&lab, until] { RunRound(lab, until); });
+  }
+  RunFor(lab, kRunTime + seconds(5));
+  lab.recorder.Write("starts " + std::to_string(lab.ledger.starts) + " done " +
+                     std::to_string(lab.ledger.done) + " twice " +
+                     std::to_string(lab.ledger.twice) + " over capacity " +
+                     std::to_string(lab.ledger.over_capacity));
+  if (lab.ledger.done == 0) {
+    return kCouldNotRun;
+  }
+  return lab.ledger.twice > 0 ? kBroken : kHeld;
+}
+
+}  // namespace boragecroft::review
