Show the task that runs twice without an outage of the store

Cause: as before, the lease of an order that reached a new life of a worker is computed on the clock of the former life (review/11). Done: the worker starts again behind a cut of 1 s and is cut off again; the store stays up.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Idle workers crash and start again while the store is down, and are cut off when they run again. SEED chooses the
-# traffic and the workers; TROUBLE=0 leaves them alone.
+# Idle workers are cut off twice in a row, start again behind the first cut, and run on behind the second one.
+# SEED chooses the traffic and the workers; TROUBLE=0 leaves them alone.
 set -uo pipefail
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.."
--- a/review/lab-3/cases.h
+++ b/review/lab-3/cases.h
@@ -9,8 +9,7 @@
 
 enum ExitCode { kHeld = 0, kBroken = 1, kCouldNotRun = 2 };
 
-// Workers crash and start again under their ids; some are cut off shortly
-// afterwards and run on.
+// Idle workers are cut off twice in a row and start again behind the first cut.
 auto RunRestartCase(Lab& lab) -> int;
 // Workers crash and start again as another kind, with another capacity.
 auto RunCapacityCase(Lab& lab) -> int;
--- a/review/lab-3/restart_case.cc
+++ b/review/lab-3/restart_case.cc
@@ -1,4 +1,3 @@
-#include <array>
 #include <vector>
 
 #include "review/lab-3/cases.h"
@@ -8,18 +7,18 @@
 
 constexpr milliseconds kWarmUp{8000};
 constexpr milliseconds kRunTime{100'000};
-constexpr milliseconds kRoundEvery{9000};
-constexpr milliseconds kStoreDownFor{4500};
-constexpr std::array<milliseconds, 2> kCrashAt = {milliseconds{500},
-                                                  milliseconds{1500}};
+constexpr milliseconds kRoundEvery{5000};
+constexpr int kWorkersPerRound = 2;
+constexpr milliseconds kFirstCutFor{1000};
+constexpr milliseconds kCrashAfter{300};  // behind the first cut
 constexpr milliseconds kDown{100};
-// Between the first start of the new life and the cut.
-constexpr milliseconds kCutAfter{100};
-constexpr milliseconds kCutFor{2500};
+// Between the first start of the new life and the second cut.
+constexpr milliseconds kSecondCutAfter{100};
+constexpr milliseconds kSecondCutFor{2500};
 constexpr milliseconds kPoll{10};
 constexpr int kWorkersPerZone = 8;
 
-// Cuts the worker off shortly after the first start of its new life.
+// Cuts the worker off again shortly after the first start of its new life.
 auto CutOffOnceUsed(Lab& lab, Worker& worker, Instant until) -> void {
   if (BootClock::now() >= until) {
     return;
@@ -29,12 +28,13 @@
           [&lab, &worker, until] { CutOffOnceUsed(lab, worker, until); });
     return;
   }
-  After(lab, kCutAfter, [&worker] { CutOffWorker(worker); });
-  After(lab, kCutAfter + kCutFor, [&worker] { ReconnectWorker(worker); });
+  After(lab, kSecondCutAfter, [&worker] { CutOffWorker(worker); });
+  After(lab, kSecondCutAfter + kSecondCutFor,
+        [&worker] { ReconnectWorker(worker); });
 }
 
-// Crashes an idle worker and starts it again.
-auto RestartIdleWorker(Lab& lab) -> void {
+// Cuts an idle worker off; it crashes behind the cut and starts again.
+auto RestartBehindCut(Lab& lab) -> void {
   std::vector<Worker*> idle;
   for (const auto& it : lab.workers) {
     if (it->server && !it->cut && it->runs.empty()) {
@@ -46,31 +46,22 @@
   }
   const auto n = static_cast<int64_t>(idle.size());
   auto& worker = *idle[static_cast<size_t>(Uniform(lab, 0, n - 1))];
-  CrashWorker(worker);
-  After(lab, kDown, [&lab, &worker] {
-    StartWorker(worker);
-    CutOffOnceUsed(lab, worker, BootClock::now() + seconds(2));
+  CutOffWorker(worker);
+  After(lab, kCrashAfter, [&worker] { CrashWorker(worker); });
+  After(lab, kCrashAfter + kDown, [&worker] { StartWorker(worker); });
+  After(lab, kFirstCutFor, [&lab, &worker] {
+    ReconnectWorker(worker);
+    CutOffOnceUsed(lab, worker, BootClock::now() + seconds(1));
   });
 }
 
-auto SetStore(Lab& lab, standins::StoreMode mode, const char* event) -> void {
-  lab.store.mode = mode;
-  lab.recorder.Write(event);
-}
-
 auto RunRound(Lab& lab, Instant until) -> void {
   if (BootClock::now() >= until) {
     return;
   }
   After(lab, kRoundEvery, [&lab, until] { RunRound(lab, until); });
-  SetStore(lab, standins::StoreMode::kRefuses, "the store is down");
-  After(lab, kStoreDownFor, [&lab] {
-    SetStore(lab, standins::StoreMode::kUp, "the store is back");
-  });
-  for (const auto at : kCrashAt) {
-    for (auto i = 0; i < 2; ++i) {
-      After(lab, at, [&lab] { RestartIdleWorker(lab); });
-    }
+  for (auto i = 0; i < kWorkersPerRound; ++i) {
+    RestartBehindCut(lab);
   }
 }
 
--- a/review/lab-3/worker.cc
+++ b/review/lab-3/worker.cc
@@ -285,9 +285,9 @@
   standins::PutRow(worker.store, "servers", worker.id, ToJsonText(row));
 }
 
-// Writes the row of this life, with the next heartbeat if the store is down.
+// Writes the row of this life, with a later heartbeat if the worker is cut off.
 auto Register(Worker& worker) -> void {
-  if (worker.store.mode == standins::StoreMode::kUp) {
+  if (!worker.cut) {
     WriteRow(worker);
     return;
   }
@@ -323,7 +323,9 @@
   worker.sequence = 0;
   worker.finished.clear();
   worker.ended_attempts.clear();
-  Listen(worker);
+  if (!worker.cut) {
+    Listen(worker);
+  }
   worker.recorder.Write("life " + worker.id + " born " +
                         std::to_string(worker.born) + " cpu " +
                         std::to_string(worker.cpu));
