Show a foreign row of the operator's table taken for the configuration

Done: a script with a stand-in of the store that keeps parts; the stand-ins of the other two cases use it as well.

--- a/review/lab-3/cases.h
+++ b/review/lab-3/cases.h
@@ -11,10 +11,10 @@
 
 // Idle workers are cut off twice in a row and start again behind the first cut.
 auto RunRestartCase(Lab& lab) -> int;
-// Workers crash and start again as another kind, with another capacity.
-auto RunCapacityCase(Lab& lab) -> int;
 // The collector of one instance's log does not read for a while.
 auto RunLogCase(Lab& lab) -> int;
+// The operator's table gets a row of the same key in another part.
+auto RunPartCase(Lab& lab) -> int;
 
 }  // namespace boragecroft::review
 
--- a/review/lab-3/lab.cc
+++ b/review/lab-3/lab.cc
@@ -168,10 +168,6 @@
                                                     kSpread)(lab.random);
 }
 
-auto ListenAsStore(Lab& lab) -> void {
-  standins::ListenAsStore(lab.store);
-}
-
 auto AddWorker(Lab& lab, const std::string& zone, int number) -> Worker& {
   struct Kind {
     const char* name;
@@ -295,8 +291,10 @@
         });
 }
 
-auto Configure(Lab& lab, int64_t version, const std::vector<RequestKind>& kinds)
-    -> void {
+auto Configure(Lab& lab,
+               const std::string& part,
+               int64_t version,
+               const std::vector<RequestKind>& kinds) -> void {
   json::array routes;
   for (const auto& it : kinds) {
     routes.push_back(json::object{{"name", "r-" + it.prefix.substr(1, 7)},
@@ -318,12 +316,12 @@
                             {"max_body_bytes", 262144},
                             {"header_timeout_ms", 3000},
                             {"idle_timeout_ms", 15000}};
-  standins::PutRow(lab.store, "op", "config",
-                   ToJsonText(json::object{{"version", version},
-                                           {"routes", std::move(routes)},
-                                           {"services", json::array{service}},
-                                           {"limits", limits}}));
-  lab.recorder.Write("configuration " + std::to_string(version) +
+  PutRow(lab.store, "op", part, "config",
+         ToJsonText(json::object{{"version", version},
+                                 {"routes", std::move(routes)},
+                                 {"services", json::array{service}},
+                                 {"limits", limits}}));
+  lab.recorder.Write("configuration " + part + " " + std::to_string(version) +
                      " acknowledged");
 }
 
--- a/review/lab-3/lab.h
+++ b/review/lab-3/lab.h
@@ -17,8 +17,8 @@
 #include <vector>
 
 #include "core/http/http_connection.h"
+#include "review/lab-3/store.h"
 #include "review/lab-3/worker.h"
-#include "tests/standins/fleet/store.h"
 
 namespace boragecroft::review {
 
@@ -69,7 +69,7 @@
   Arguments arguments;
   boost::asio::io_context context;
   Recorder recorder;
-  standins::Store store{context};
+  Store store{context};
   Ledger ledger;
   std::mt19937_64 random;
   std::vector<std::string> zones;
@@ -86,8 +86,6 @@
 // Returns a sample whose mean is about `mean` with the spread of the sheet.
 auto Spread(Lab& lab, double mean) -> double;
 
-// The address of the store has to be known before the instances start.
-auto ListenAsStore(Lab& lab) -> void;
 auto AddWorker(Lab& lab, const std::string& zone, int number) -> Worker&;
 auto StartInstance(Lab& lab, const std::string& zone, int number) -> Instance&;
 // Lets the collector read again.
@@ -115,9 +113,12 @@
                 const RequestKind& kind,
                 double per_second,
                 Instant until) -> void;
-// Writes the configuration; the callback is the store's acknowledgement.
-auto Configure(Lab& lab, int64_t version, const std::vector<RequestKind>& kinds)
-    -> void;
+// Writes a configuration into a part of the operator's table. The one in the
+// empty part is in force.
+auto Configure(Lab& lab,
+               const std::string& part,
+               int64_t version,
+               const std::vector<RequestKind>& kinds) -> void;
 
 // Runs the event loop for `time` and ends the instances.
 auto RunFor(Lab& lab, milliseconds time) -> void;
--- a/review/lab-3/log_case.cc
+++ b/review/lab-3/log_case.cc
@@ -90,8 +90,8 @@
 
 auto StartFleet(Lab& lab, const Routes& routes) -> void {
   lab.zones = {"bilbao", "santander", "oviedo"};
-  ListenAsStore(lab);
-  Configure(lab, 7, {routes.kept, routes.removed});
+  ListenAsStore(lab.store);
+  Configure(lab, "", 7, {routes.kept, routes.removed});
   for (const auto& zone : lab.zones) {
     for (auto i = 0; i < kWorkersPerZone; ++i) {
       AddWorker(lab, zone, i);
@@ -124,10 +124,10 @@
     });
   }
   After(lab, kFirstChangeAt, [&] {
-    Configure(lab, 12, {routes.kept, routes.removed});
+    Configure(lab, "", 12, {routes.kept, routes.removed});
   });
   After(lab, kSecondChangeAt, [&] {
-    Configure(lab, 19, {routes.kept, routes.added});
+    Configure(lab, "", 19, {routes.kept, routes.added});
   });
   std::vector<Caller> callers(kCallers);
   for (size_t i = 0; i < callers.size(); ++i) {
--- a/review/lab-3/restart_case.cc
+++ b/review/lab-3/restart_case.cc
@@ -69,10 +69,10 @@
 
 auto RunRestartCase(Lab& lab) -> int {
   lab.zones = {"bilbao", "santander"};
-  ListenAsStore(lab);
+  ListenAsStore(lab.store);
   const RequestKind kind{
       .prefix = "/pufi791/", .tasks = 4, .work_ms = 900, .priority = 2};
-  Configure(lab, 7, {kind});
+  Configure(lab, "", 7, {kind});
   for (const auto& zone : lab.zones) {
     for (auto i = 0; i < kWorkersPerZone; ++i) {
       AddWorker(lab, zone, i);
--- a/review/lab-3/worker.cc
+++ b/review/lab-3/worker.cc
@@ -282,7 +282,7 @@
       {"labels", json::array{worker.kind, worker.rack}},
       {"clock_ms", ClockOf(worker)},
       {"seq", 1}};
-  standins::PutRow(worker.store, "servers", worker.id, ToJsonText(row));
+  PutRow(worker.store, "servers", "", worker.id, ToJsonText(row));
 }
 
 // Writes the row of this life, with a later heartbeat if the worker is cut off.
--- a/review/lab-3/worker.h
+++ b/review/lab-3/worker.h
@@ -16,7 +16,7 @@
 
 #include "core/base/clock.h"
 #include "core/http/http_server.h"
-#include "tests/standins/fleet/store.h"
+#include "review/lab-3/store.h"
 
 namespace boragecroft::review {
 
@@ -56,13 +56,13 @@
 
 struct Worker {
   Worker(boost::asio::io_context& io,
-         standins::Store& rows,
+         Store& rows,
          Ledger& shared,
          Recorder& events)
       : context(io), store(rows), ledger(shared), recorder(events), lapse(io) {}
 
   boost::asio::io_context& context;
-  standins::Store& store;
+  Store& store;
   Ledger& ledger;
   Recorder& recorder;
   std::string id;
