--- a/review/lab-3/log_case.cc
+++ b/review/lab-3/log_case.cc
@@ -14,7 +14,7 @@
 constexpr milliseconds kResumeAt{25'500};
 constexpr milliseconds kRunTime{32'000};
 // Shorter before the requests than the connections' idle time-out of 15 s.
-constexpr milliseconds kOpenAt{10'500};
+constexpr milliseconds kOpenAt{11'500};
 constexpr milliseconds kProbeEvery{100};
 constexpr size_t kCallers = 24;
 constexpr int kWorkersPerZone = 4;
