--- a/review/lab-3/cases.h
+++ b/review/lab-3/cases.h
@@ -13,6 +13,8 @@
 auto RunRestartCase(Lab& lab) -> int;
 // The collector of one instance's log does not read for a while.
 auto RunLogCase(Lab& lab) -> int;
+// A caller cancels a job at a holder that is cut off from the other instances.
+auto RunCancelCase(Lab& lab) -> int;
 // The operator's table gets a row of the same key in another part.
 auto RunPartCase(Lab& lab) -> int;
 
--- a/review/lab-3/lab.cc
+++ b/review/lab-3/lab.cc
@@ -41,8 +41,7 @@
          "limits.max_fds=4100\ndiscovery=platform\nentry=vip\n" +
          "heartbeat_ms=1500\nbounds.config_apply_ms=2000\n" +
          "bounds.lease_ms=3000\nbounds.hold_max_ms=1000\ncommands=rpc\n" +
-         "platform.form=table\nplatform.addr=" + ToString(StoreAddress(lab)) +
-         "\n";
+         "platform.form=table\nplatform.addr=" + ToString(it.store) + "\n";
   return out;
 }
 
@@ -51,41 +50,66 @@
     const auto started = boost::json::parse(it.line).as_object();
     it.callers = {.ip = it.ip,
                   .port = started.at("callers").to_number<uint16_t>()};
+    if (lab.relays) {
+      lab.relays->SetTarget(
+          *it.advertised,
+          {.ip = it.ip, .port = started.at("instances").to_number<uint16_t>()});
+    }
     lab.recorder.Write("instance " + it.name + " serves " +
                        ToString(it.callers));
   }
+  if (it.line.find("\"event\":\"group_held\"") != std::string::npos) {
+    lab.holder = it.name;
+    lab.recorder.Write("holder " + it.name);
+  }
   it.line.clear();
 }
 
 auto ReadLog(Lab& lab, Instance& it) -> void {
-  it.log.async_read_some(boost::asio::buffer(it.buffer),
-                         [&lab, &it](boost::system::error_code ec, size_t n) {
-                           if (ec) {
-                             return;
-                           }
-                           it.log_bytes += n;
-                           for (size_t i = 0; i < n; ++i) {
-                             if (it.buffer.at(i) == '\n') {
-                               ReadLine(lab, it);
-                             } else {
-                               it.line.push_back(it.buffer.at(i));
-                             }
-                           }
-                           if (!it.stalled) {
-                             ReadLog(lab, it);
-                           }
-                         });
+  it.log.async_read_some(
+      boost::asio::buffer(it.buffer),
+      [&lab, &it](boost::system::error_code ec, size_t n) {
+        if (ec) {
+          return;
+        }
+        std::ofstream(lab.arguments.folder + "/" + it.name + ".log",
+                      std::ios::app)
+            .write(it.buffer.data(), static_cast<std::streamsize>(n));
+        for (size_t i = 0; i < n; ++i) {
+          if (it.buffer.at(i) == '\n') {
+            ReadLine(lab, it);
+          } else {
+            it.line.push_back(it.buffer.at(i));
+          }
+        }
+        if (!it.stalled) {
+          ReadLog(lab, it);
+        }
+      });
 }
 
-auto Spawn(const Lab& lab, const std::string& settings, int output) -> pid_t {
+auto Spawn(const Lab& lab,
+           const Instance& it,
+           const std::string& settings,
+           int output) -> pid_t {
+  std::vector<std::string> command = {lab.arguments.program, "--metrics-port",
+                                      "9464"};
+  if (it.advertised) {
+    command.insert(command.end(), {"--advertise", ToString(*it.advertised)});
+  }
+  std::vector<char*> arguments;
+  arguments.reserve(command.size() + 1);
+  for (auto& word : command) {
+    arguments.push_back(word.data());
+  }
+  arguments.push_back(nullptr);
   const auto pid = ::fork();
   if (pid == 0) {
     ::dup2(output, STDOUT_FILENO);
     // The sockets of the stand-ins must not stay open in the instance.
     ::close_range(STDERR_FILENO + 1, ~0U, 0);
     ::setenv("BORAGECROFT_CONFIG", settings.c_str(), 1);
-    ::execl(lab.arguments.program.c_str(), lab.arguments.program.c_str(),
-            "--metrics-port", "9464", static_cast<char*>(nullptr));
+    ::execv(arguments.front(), arguments.data());
     ::_exit(127);
   }
   return pid;
@@ -201,13 +225,19 @@
   it.name = "frontend-" + zone + "-" + std::to_string(number);
   it.zone = zone;
   it.ip = lab.network + std::to_string(10 + lab.instances.size());
+  it.store = StoreAddress(lab);
+  if (lab.relays) {
+    it.store = lab.relays->AddRelay(it.name, "store");
+    lab.relays->SetTarget(it.store, StoreAddress(lab));
+    it.advertised = lab.relays->AddRelay("", it.name);
+  }
   const auto settings = lab.arguments.folder + "/" + it.name + ".conf";
   std::ofstream(settings) << SettingsText(lab, it);
   std::array<int, 2> ends{};
   if (::pipe2(ends.data(), O_CLOEXEC) != 0) {
     throw std::runtime_error("cannot make a pipe");
   }
-  it.pid = Spawn(lab, settings, ends[1]);
+  it.pid = Spawn(lab, it, settings, ends[1]);
   ::close(ends[1]);
   it.log.assign(ends[0]);
   ReadLog(lab, it);
@@ -255,16 +285,17 @@
 
 auto MakeJob(Lab& lab, const RequestKind& kind, const std::string& id)
     -> HttpRequest {
-  const auto work = Spread(lab, kind.work_ms);
-  const auto uneven =
-      1 + kUneven * static_cast<double>(Uniform(lab, -10, 10)) / 10;
-  const json::object spec{{"work_ms", static_cast<int64_t>(work * uneven)},
+  const auto exact = kind.exact;
+  const auto mean = exact ? kind.work_ms : Spread(lab, kind.work_ms);
+  const auto declared = exact ? mean : Spread(lab, mean);
+  const auto uneven = kUneven * static_cast<double>(Uniform(lab, -10, 10)) / 10;
+  const auto work = exact ? mean : mean * (1 + uneven);
+  const json::object spec{{"work_ms", static_cast<int64_t>(work)},
                           {"cpu", kTaskCpu}};
-  const json::object step{
-      {"count", kind.tasks},
-      {"cpu", kTaskCpu},
-      {"mem_mb", 64},
-      {"est_runtime_ms", static_cast<int64_t>(Spread(lab, work))}};
+  const json::object step{{"count", kind.tasks},
+                          {"cpu", kTaskCpu},
+                          {"mem_mb", 64},
+                          {"est_runtime_ms", static_cast<int64_t>(declared)}};
   HttpRequest out;
   out.method = "POST";
   out.target = kind.prefix + id;
@@ -301,7 +332,7 @@
                                   {"host", kHost},
                                   {"prefix", it.prefix},
                                   {"kind", "non_idempotent"},
-                                  {"timeout_ms", kDeadline.count()},
+                                  {"timeout_ms", it.timeout.count()},
                                   {"target_duration_ms", 60},
                                   {"priority", it.priority},
                                   {"service", "cartas"},
--- a/review/lab-3/lab.h
+++ b/review/lab-3/lab.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -19,6 +20,7 @@
 #include "core/http/http_connection.h"
 #include "review/lab-3/store.h"
 #include "review/lab-3/worker.h"
+#include "tests/lab/partition.h"
 
 namespace boragecroft::review {
 
@@ -39,10 +41,11 @@
   std::string ip;
   pid_t pid = -1;
   Address callers;  // port 0 until the instance has started
+  Address store;
+  std::optional<Address> advertised;  // of its relay
   boost::asio::posix::stream_descriptor log;
   std::array<char, 4096> buffer{};
   std::string line;
-  uint64_t log_bytes = 0;
   bool stalled = false;  // the collector does not read
 };
 
@@ -52,6 +55,8 @@
   int tasks = 1;
   double work_ms = 0;
   int64_t priority = 0;
+  milliseconds timeout{1500};  // of the route
+  bool exact = false;          // work and declared run time have no spread
 };
 
 struct Reply {
@@ -73,6 +78,9 @@
   Ledger ledger;
   std::mt19937_64 random;
   std::vector<std::string> zones;
+  // Set: instances reach each other and the store through relays.
+  std::unique_ptr<lab::PartitionedNetwork> relays;
+  std::string holder;   // the instance that began to hold a group last
   std::string network;  // of the instances' addresses: "127.a.b."
   std::vector<std::unique_ptr<Worker>> workers;
   std::vector<std::unique_ptr<Instance>> instances;
--- a/review/lab-3/main.cc
+++ b/review/lab-3/main.cc
@@ -14,7 +14,10 @@
 
 auto Run(int argc, char** argv) -> int {
   const std::map<std::string, int (*)(Lab&)> cases = {
-      {"restart", RunRestartCase}, {"log", RunLogCase}, {"part", RunPartCase}};
+      {"restart", RunRestartCase},
+      {"cancel", RunCancelCase},
+      {"log", RunLogCase},
+      {"part", RunPartCase}};
   if (argc != 7 || !cases.contains(argv[1])) {
     std::cerr << "usage: review_lab CASE PROGRAM RECORD FOLDER SEED TROUBLE\n";
     return kCouldNotRun;
--- a/review/lab-3/restart_case.cc
+++ b/review/lab-3/restart_case.cc
@@ -7,14 +7,14 @@
 
 constexpr milliseconds kWarmUp{8000};
 constexpr milliseconds kRunTime{100'000};
-constexpr milliseconds kRoundEvery{5000};
+constexpr milliseconds kRoundEvery{4000};
 constexpr int kWorkersPerRound = 2;
 constexpr milliseconds kFirstCutFor{1000};
 constexpr milliseconds kCrashAfter{300};  // behind the first cut
 constexpr milliseconds kDown{100};
 // Between the first start of the new life and the second cut.
 constexpr milliseconds kSecondCutAfter{100};
-constexpr milliseconds kSecondCutFor{2500};
+constexpr milliseconds kSecondCutFor{1500};
 constexpr milliseconds kPoll{10};
 constexpr int kWorkersPerZone = 8;
 
@@ -84,7 +84,7 @@
   }
   const auto until = BootClock::now() + kRunTime;
   After(lab, seconds(3),
-        [&lab, kind, until] { SubmitJobs(lab, kind, 3.5, until); });
+        [&lab, kind, until] { SubmitJobs(lab, kind, 4.5, until); });
   if (lab.arguments.trouble) {
     After(lab, kWarmUp, [&lab, until] { RunRound(lab, until); });
   }
--- a/review/lab-3/worker.cc
+++ b/review/lab-3/worker.cc
@@ -114,6 +114,7 @@
 auto CheckStart(Worker& worker, const WorkerRun& run) -> void {
   auto& ledger = worker.ledger;
   ++ledger.starts;
+  ledger.start_times.push_back(worker.recorder.ElapsedMs());
   auto& on = ledger.running[run.task];
   if (!on.empty()) {
     ++ledger.twice;
