--- a/review/lab-3/restart_case.cc
+++ b/review/lab-3/restart_case.cc
@@ -8,7 +8,7 @@
 constexpr milliseconds kWarmUp{8000};
 constexpr milliseconds kRunTime{100'000};
 constexpr milliseconds kRoundEvery{4000};
-constexpr int kWorkersPerRound = 2;
+constexpr int kWorkersPerRound = 8;
 constexpr milliseconds kFirstCutFor{1000};
 constexpr milliseconds kCrashAfter{300};  // behind the first cut
 constexpr milliseconds kDown{100};
@@ -16,7 +16,7 @@
 constexpr milliseconds kSecondCutAfter{100};
 constexpr milliseconds kSecondCutFor{1500};
 constexpr milliseconds kPoll{10};
-constexpr int kWorkersPerZone = 8;
+constexpr int kWorkersPerZone = 16;
 
 // Cuts the worker off again shortly after the first start of its new life.
 auto CutOffOnceUsed(Lab& lab, Worker& worker, Instant until) -> void {
@@ -68,7 +68,7 @@
 }  // namespace
 
 auto RunRestartCase(Lab& lab) -> int {
-  lab.zones = {"bilbao", "santander"};
+  lab.zones = {"bilbao", "santander", "oviedo"};
   ListenAsStore(lab.store);
   const RequestKind kind{
       .prefix = "/pufi791/", .tasks = 4, .work_ms = 900, .priority = 2};
@@ -84,7 +84,7 @@
   }
   const auto until = BootClock::now() + kRunTime;
   After(lab, seconds(3),
-        [&lab, kind, until] { SubmitJobs(lab, kind, 4.5, until); });
+        [&lab, kind, until] { SubmitJobs(lab, kind, 13.5, until); });
   if (lab.arguments.trouble) {
     After(lab, kWarmUp, [&lab, until] { RunRound(lab, until); });
   }
