--- a/review/lab-3/restart_case.cc
+++ b/review/lab-3/restart_case.cc
@@ -83,8 +83,12 @@
     StartInstance(lab, zone, 2);
   }
   const auto until = BootClock::now() + kRunTime;
+  // Two levels of load, so that restarted workers get their first order sooner
+  // or later.
   After(lab, seconds(3),
-        [&lab, kind, until] { SubmitJobs(lab, kind, 13.5, until); });
+        [&lab, kind, until] { SubmitJobs(lab, kind, 7, until); });
+  After(lab, kRunTime / 2,
+        [&lab, kind, until] { SubmitJobs(lab, kind, 6.5, until); });
   if (lab.arguments.trouble) {
     After(lab, kWarmUp, [&lab, until] { RunRound(lab, until); });
   }
