Keep the load of review/13 inside the bursts of the site

Cause: 110 jobs a second on 12 workers were 2.7 times the sheet's usual load. Done: the usual load with two bursts of 2.4 for 6 s.

--- a/review/lab-3/log_case.cc
+++ b/review/lab-3/log_case.cc
@@ -1,3 +1,4 @@
+#include <array>
 #include <utility>
 
 #include "review/lab-3/cases.h"
@@ -8,6 +9,13 @@
 // `config_apply_ms` of the deployment.
 constexpr milliseconds kConfigApply{2000};
 constexpr milliseconds kServiceFrom{3000};
+// Jobs a second that use as much of the workers as the sheet's usual load, and
+// two bursts of the site's largest dose.
+constexpr double kUsualLoad = 41;
+constexpr double kBurst = 2.4;
+constexpr std::array<milliseconds, 2> kBurstsAt = {milliseconds{6000},
+                                                   milliseconds{12'500}};
+constexpr milliseconds kBurstFor{6000};
 constexpr milliseconds kStallAt{6000};
 constexpr milliseconds kFirstChangeAt{20'000};
 constexpr milliseconds kSecondChangeAt{21'000};
@@ -110,8 +118,14 @@
   StartFleet(lab, routes);
   const auto began = BootClock::now();
   After(lab, kServiceFrom, [&] {
-    SubmitJobs(lab, routes.kept, 110, began + kRunTime - seconds(2));
+    SubmitJobs(lab, routes.kept, kUsualLoad, began + kRunTime - seconds(2));
   });
+  for (const auto at : kBurstsAt) {
+    After(lab, at, [&] {
+      SubmitJobs(lab, routes.kept, kUsualLoad * (kBurst - 1),
+                 BootClock::now() + kBurstFor);
+    });
+  }
   if (lab.arguments.trouble) {
     After(lab, kStallAt, [&] {
       lab.instances.front()->stalled = true;
