--- a/review/lab-3/cancel_case.cc
+++ b/review/lab-3/cancel_case.cc
@@ -20,6 +20,7 @@
   std::string job;
   std::string holder;
   std::optional<int64_t> acknowledged;  // ms since the start
+  uint64_t highest_token = 0;  // of all orders until the caller cancels
 };
 
 auto Find(Lab& lab, const std::string& name) -> Instance& {
@@ -43,6 +44,9 @@
 }
 
 auto CancelAtHolder(Lab& lab, const RequestKind& kind, Cancel& out) -> void {
+  for (const auto token : lab.ledger.start_tokens) {
+    out.highest_token = std::max(out.highest_token, token);
+  }
   HttpRequest request;
   request.method = "DELETE";
   request.target = kind.prefix + out.job;
@@ -94,10 +98,15 @@
   if (!cancel.acknowledged || lab.ledger.starts == 0) {
     return kCouldNotRun;
   }
+  // Only starts of later holders count: the machine that is cut off is not in
+  // touch. Each term has higher tokens than the one before.
+  const auto& ledger = lab.ledger;
   const auto bound = *cancel.acknowledged + kCancelMs;
-  const auto late = std::count_if(lab.ledger.start_times.begin(),
-                                  lab.ledger.start_times.end(),
-                                  [&](int64_t at) { return at > bound; });
+  int late = 0;
+  for (size_t i = 0; i < ledger.start_times.size(); ++i) {
+    const auto later_holder = ledger.start_tokens[i] > cancel.highest_token;
+    late += later_holder && ledger.start_times[i] > bound ? 1 : 0;
+  }
   lab.recorder.Write("starts " + std::to_string(lab.ledger.starts) +
                      ", later than cancel_ms after the acknowledgement " +
                      std::to_string(late));
--- a/review/lab-3/worker.cc
+++ b/review/lab-3/worker.cc
@@ -115,6 +115,7 @@
   auto& ledger = worker.ledger;
   ++ledger.starts;
   ledger.start_times.push_back(worker.recorder.ElapsedMs());
+  ledger.start_tokens.push_back(worker.token);
   auto& on = ledger.running[run.task];
   if (!on.empty()) {
     ++ledger.twice;
--- a/review/lab-3/worker.h
+++ b/review/lab-3/worker.h
@@ -37,7 +37,8 @@
 struct Ledger {
   std::map<std::string, std::vector<std::string>> running;  // workers, by task
   uint64_t starts = 0;
-  std::vector<int64_t> start_times;  // ms since the start
+  std::vector<int64_t> start_times;    // ms since the start
+  std::vector<uint64_t> start_tokens;  // of the orders, in the same order
   uint64_t done = 0;
   uint64_t twice = 0;          // starts beside another run of the same task
   uint64_t over_capacity = 0;  // starts that brought a worker over its capacity
