Send orders that grant a lease only to the incarnation that they are meant for

Cause: a worker that was cut off and idle restarted under its id. The holder's next start carried a lease on the clock of the former incarnation, which the new one, whose clock begins again, granted for up to 1,000 ms. A second cut followed before the holder could learn of the restart. It took the lease for one of 550 ms and started the task elsewhere.

Change: a connection leads to one incarnation of a worker, and the client notes which, from the reports on the connection. A start, or a renewal that extends leases, is sent only on a connection to the incarnation of its target; a new connection is asked first, by a renewal that extends nothing. After another incarnation has answered, the worker gets no starts or leases until it is fenced again.

Ruled out: an order carried out late, a wrong length of the lease, a lost stop. Weighed: taking 1,000 ms for the lease of each order without an answer, which gives runs on workers that are cut off up half a second later.

--- a/main/entry/entry_instance.cc
+++ b/main/entry/entry_instance.cc
@@ -136,6 +136,8 @@
                   static_cast<double>(state.store->BytesRead()));
   metrics.SetSize("worker_connections_opened",
                   static_cast<double>(state.workers->OpenedConnections()));
+  metrics.SetSize("worker_connections_confirmed",
+                  static_cast<double>(state.workers->Confirmations()));
   metrics.SetSize("configuration_version",
                   static_cast<double>(state.routes.version));
   SchedulerCounters sum;
--- a/servers/scheduling/dispatching.cc
+++ b/servers/scheduling/dispatching.cc
@@ -126,7 +126,8 @@
     -> OrderTarget {
   return OrderTarget{.worker = worker.entry.id,
                      .address = worker.entry.address,
-                     .token = state.token + worker.incarnations_seen};
+                     .token = state.token + worker.incarnations_seen,
+                     .incarnation = worker.entry.started_at};
 }
 
 auto RunTimeOf(const Scheduler& /*state*/, const ScheduledJob& job)
--- a/servers/scheduling/scheduler.h
+++ b/servers/scheduling/scheduler.h
@@ -34,10 +34,15 @@
 inline constexpr uint64_t kTokensPerTerm = 1024;
 
 // Destination of an order and the fencing token that authorizes it.
+//
+// A worker that restarts keeps its id, while its clock begins again. Orders that
+// grant a lease must therefore reach the incarnation on whose clock the lease
+// is measured.
 struct OrderTarget {
   std::string worker;
   Address address;
   uint64_t token = 0;
+  milliseconds incarnation{};  // start of the incarnation, since 1970
 };
 
 struct StartCommand {
@@ -116,6 +121,9 @@
   kFenced,        // the worker has seen a higher token
   kUnhealthy,     // the worker is unhealthy and did nothing
   kMoved,         // another worker answers at the address
+  kRestarted,     // not sent: the worker is another incarnation than the one
+                  // that the order is meant for
+  kUnconfirmed,   // not sent: the worker did not say which incarnation it is
   kInvalid,       // the worker could not read the order
   kNotSent,       // no byte was sent
   kNoAnswer,      // may have been carried out, or may be carried out later
--- a/servers/scheduling/worker_events.cc
+++ b/servers/scheduling/worker_events.cc
@@ -54,6 +54,13 @@
   worker.next_renewal = now + kRenewalRetryDelay;
 }
 
+// Handles that the worker has restarted or may have: it gets no starts and no
+// leases until a renewal, which is sent without a wait, shows which incarnation
+// it is.
+auto RequireFence(WorkerAccount& worker) -> void {
+  worker.fenced = false;
+}
+
 // Handles a restart of the worker: its earlier runs have ended and its counts
 // begin again. However, orders that this holder sent before it knew of the
 // restart may have reached the new incarnation. Therefore the runs stay in the
@@ -245,6 +252,12 @@
       answer == OrderAnswer::kMoved) {
     MarkUnreachable(*worker, now);
   }
+  // A renewal that is in flight shows as well whether the worker answers.
+  const auto unanswered =
+      answer == OrderAnswer::kUnconfirmed && !worker->renewal_in_flight;
+  if (answer == OrderAnswer::kRestarted || unanswered) {
+    RequireFence(*worker);
+  }
   UndoStart(state, *worker, order, now, out);
   if (answer == OrderAnswer::kStaleAttempt) {
     // Not before the start is undone: that compares the numbers of attempts.
@@ -306,9 +319,13 @@
     if (answer == OrderAnswer::kNoAnswer && worker->reachable) {
       state.renewal_lost_at = now;
     }
+    if (answer == OrderAnswer::kRestarted) {
+      RequireFence(*worker);
+    }
     ++worker->unanswered_renewals;
-    if (worker->unanswered_renewals >= kMaxUnansweredRenewals ||
-        answer != OrderAnswer::kNoAnswer) {
+    const auto retry_now =
+        answer == OrderAnswer::kNoAnswer || answer == OrderAnswer::kRestarted;
+    if (worker->unanswered_renewals >= kMaxUnansweredRenewals || !retry_now) {
       MarkUnreachable(*worker, now);
     }
     detail::RenewIfNeeded(state, *worker, now, out);
--- a/tests/servers/scheduling/orders_test.cc
+++ b/tests/servers/scheduling/orders_test.cc
@@ -350,5 +350,87 @@
   EXPECT_GT(NextDue(state).value_or(now + seconds{1}), now);
 }
 
+// A worker that was asked for its incarnation before a start, which had not
+// been sent yet.
+class AskedWorker : public SchedulerFixture {
+ protected:
+  void SetUp() override {
+    Begin({MakeEntry("w1", 15'000), MakeEntry("w2", 15'000)});
+    Offer(MakeOffer(1, 1));
+    order = Take<StartCommand>().at(0);
+    renewal = Take<RenewCommand>().at(0);
+  }
+
+  // Returns the starts on the worker that was asked.
+  auto TakeItsStarts() -> std::vector<StartCommand> {
+    auto starts = Take<StartCommand>();
+    std::erase_if(starts, [&](const StartCommand& it) {
+      return it.target.worker != order.target.worker;
+    });
+    return starts;
+  }
+
+  StartCommand order;
+  RenewCommand renewal;
+};
+
+TEST_F(AskedWorker, LosesTaskToOtherWorkerWhenItHasRestarted) {
+  EXPECT_EQ(order.target.incarnation, milliseconds{1000});
+  AnswerStart(order, OrderAnswer::kRestarted);
+  const auto again = Take<StartCommand>();
+  ASSERT_EQ(again.size(), 1U);
+  EXPECT_NE(again[0].target.worker, order.target.worker);
+  EXPECT_EQ(state.jobs.at(JobName{1}).uncertain, 1);
+}
+
+TEST_F(AskedWorker, GetsNoStartBeforeItsRestartIsKnown) {
+  AnswerStart(order, OrderAnswer::kRestarted);
+  Offer(MakeOffer(2, 1));
+  EXPECT_TRUE(TakeItsStarts().empty());
+  AnswerRenewal(renewal, {}, {}, milliseconds{2000});
+  const auto next = Take<RenewCommand>().back();
+  EXPECT_EQ(next.target.incarnation, milliseconds{2000});
+  EXPECT_EQ(next.lease, milliseconds{0});
+  EXPECT_TRUE(TakeItsStarts().empty());
+  AnswerRenewal(next, {}, {}, milliseconds{2000});
+  const auto again = TakeItsStarts();
+  ASSERT_EQ(again.size(), 1U);
+  EXPECT_EQ(again[0].target.incarnation, milliseconds{2000});
+}
+
+TEST_F(AskedWorker, GetsNoLeaseBeforeItsRestartIsKnown) {
+  AnswerStart(order, OrderAnswer::kAccepted);
+  OnRenewAnswer(state, renewal, OrderAnswer::kRestarted, nullptr, now, now,
+                out);
+  const auto next = Take<RenewCommand>();
+  ASSERT_EQ(next.size(), 1U);
+  EXPECT_EQ(next[0].lease, milliseconds{0});
+}
+
+TEST_F(AskedWorker, StaysInUseWhileRenewalThatItMayAnswerIsInFlight) {
+  AnswerStart(order, OrderAnswer::kUnconfirmed);
+  Offer(MakeOffer(2, 1));
+  EXPECT_EQ(TakeItsStarts().size(), 1U);
+}
+
+// Guards against starts that go on to a worker that answers nothing: without
+// runs it gets no renewals that would show this.
+TEST_F(AskedWorker, GetsNoStartBeforeItAnswersIfNoRenewalIsInFlight) {
+  AnswerStart(order, OrderAnswer::kAccepted);
+  AnswerRenewal(renewal, {}, {{1, order.task, order.attempt, RunEnd::kDone}});
+  AnswerRenewal(Take<RenewCommand>().at(0), {}, {});
+  ASSERT_TRUE(Take<RenewCommand>().empty());
+  Offer(MakeOffer(2, 2));
+  const auto starts = TakeItsStarts();
+  ASSERT_EQ(starts.size(), 1U);
+  const auto unsent = Take<RenewCommand>().at(0);
+  ASSERT_EQ(unsent.target.worker, order.target.worker);
+  OnRenewAnswer(state, unsent, OrderAnswer::kNoAnswer, nullptr, now, now, out);
+  renewal = Take<RenewCommand>().at(0);
+  OnRenewAnswer(state, renewal, OrderAnswer::kNoAnswer, nullptr, now, now, out);
+  AnswerStart(starts[0], OrderAnswer::kUnconfirmed);
+  EXPECT_TRUE(TakeItsStarts().empty());
+}
+
 }  // namespace
 }  // namespace boragecroft
--- a/tests/standins/fleet/fleet_worker.cc
+++ b/tests/standins/fleet/fleet_worker.cc
@@ -213,10 +213,7 @@
   }
 }
 
-}  // namespace
-
-auto ListenAsWorker(FleetWorker& worker) -> void {
-  RestartWorker(worker);
+auto Listen(FleetWorker& worker, uint16_t port) -> std::unique_ptr<HttpServer> {
   HttpServerCallbacks callbacks;
   callbacks.on_request = [&worker](const HttpRequest& request,
                                    HttpResponder respond) {
@@ -224,12 +221,18 @@
   };
   auto server = HttpServer::Listen(
       worker.context,
-      HttpServerOptions{.listen = {.ip = "127.0.0.1", .port = 0}},
+      HttpServerOptions{.listen = {.ip = "127.0.0.1", .port = port}},
       std::move(callbacks));
   if (server.has_error()) {
     throw std::runtime_error(server.error());
   }
-  worker.server = std::move(server).value();
+  return std::move(server).value();
+}
+
+}  // namespace
+
+auto ListenAsWorker(FleetWorker& worker) -> void {
+  RestartWorker(worker);
 }
 
 auto RestartWorker(FleetWorker& worker) -> void {
@@ -245,6 +248,9 @@
   worker.clock_origin = BootClock::now();
   worker.started_at = std::max(worker.started_at + 1,
                                ReadClocks().wall.time_since_epoch().count());
+  const auto port = worker.server ? worker.server->Port() : uint16_t{0};
+  worker.server.reset();
+  worker.server = Listen(worker, port);
 }
 
 auto ReportOf(const FleetWorker& worker, bool draining) -> std::string {
--- a/tests/standins/fleet/fleet_worker.h
+++ b/tests/standins/fleet/fleet_worker.h
@@ -78,7 +78,8 @@
 
 auto ListenAsWorker(FleetWorker& worker) -> void;
 // Simulates a restart under the same id and address: the worker runs nothing
-// and has forgotten its fencing token, lease and ended attempts.
+// and has forgotten its fencing token, lease and ended attempts. Connections to
+// the earlier incarnation end.
 auto RestartWorker(FleetWorker& worker) -> void;
 // Returns the worker's report as JSON text for its row in the store.
 auto ReportOf(const FleetWorker& worker, bool draining) -> std::string;
