Refuse jobs that limit their tasks for each worker

Cause: the field was neither read nor among the unsupported ones. It is refused as not run now, as the others are. Found while each field of the platform's messages was traced to its reader (docs/design/platform-fields.md).

SubmissionTest.ReportsUnsupportedJob failed on the added expectation before.

--- a/tests/platform/platform_formats_test.cc
+++ b/tests/platform/platform_formats_test.cc
@@ -188,6 +188,8 @@
       R"({"best_effort":true,"steps":[{"count":4},{"count":1,"after":[0]}]})"));
   EXPECT_TRUE(is_unsupported(
       R"({"best_effort":true,"steps":[{"count":4,"gang":true}]})"));
+  EXPECT_TRUE(is_unsupported(
+      R"({"best_effort":true,"steps":[{"count":4,"max_per_server":2}]})"));
 }
 
 TEST(SubmissionTest, RejectsInvalidCountAndInvalidJson) {
