Keep a handed-over job as long as its caller waits

A job that an earlier holder had begun got 504 about 3.5 s after it was sent although its caller waited for 30 s and its group had room again.

Cause: without a start at the new holder it counted as one that had waited too long for its objective ("no_room", chance 100 %). Change: it waits for room until its caller leaves, or until it can't end in time any more, on the terms of a job that has started.

HandedOverJob.* (scheduling_tests) failed before.

--- a/servers/scheduling/give_up.cc
+++ b/servers/scheduling/give_up.cc
@@ -28,8 +28,10 @@
   return static_cast<uint32_t>(job.tasks.size()) - job.done - job.in_progress;
 }
 
+// A job that may have run waits for room as long as its caller does: to give it
+// up earlier would waste its work, and could not be told as "not run".
 auto RoomGoneAt(const ScheduledJob& job) -> Instant {
-  return job.uncertain == 0 ? job.times.refuse_at : job.times.stop_at;
+  return MayHaveRun(job) ? job.times.stop_at : job.times.refuse_at;
 }
 
 }  // namespace
@@ -49,13 +51,10 @@
 auto UpdateChanceGoneAt(ScheduledJob& job) -> void {
   const auto waiting = WaitingTasksOf(job);
   const auto latest = job.times.stop_at;
-  if (job.uncertain > 0) {
+  if (MayHaveRun(job)) {
     const auto gone_at =
         LatestContinue(job.forecast, TightestRunOf(job), waiting, latest);
     job.chance_gone_at = latest - gone_at < kMinTimeSaved ? latest : gone_at;
-  } else if (job.offer.may_run_elsewhere) {
-    // An early answer would not tell its caller more: it can't be "not run".
-    job.chance_gone_at = latest;
   } else {
     job.chance_gone_at =
         LatestStart(job.forecast, waiting, kMinChanceToStart, latest);
--- a/tests/servers/scheduling/waiting_test.cc
+++ b/tests/servers/scheduling/waiting_test.cc
@@ -303,6 +303,46 @@
   EXPECT_TRUE(Take<ResultCommand>().empty());
 }
 
+// A job that an earlier holder had begun, offered to its successor.
+class HandedOverJob : public SchedulerFixture {
+ protected:
+  auto HandOver(milliseconds run_estimate, milliseconds remaining) -> void {
+    Begin({MakeEntry("w1", 14'000)});
+    auto other = MakeOffer(1, 1);
+    other.run_estimate = seconds(20);
+    other.remaining = seconds(60);
+    Offer(other);
+    AnswerStart(Take<StartCommand>().at(0), OrderAnswer::kAccepted);
+    auto offer = MakeOffer(2, 1);
+    offer.run_estimate = run_estimate;
+    offer.age = milliseconds{1000};
+    offer.remaining = remaining;
+    offer.submission = 1;
+    offer.may_run_elsewhere = true;
+    Offer(offer);
+    out.clear();
+  }
+};
+
+// Guards against callers that got no answer but 504 although they waited on:
+// the latest start that meets the objective had passed during the hand-over.
+TEST_F(HandedOverJob, WaitsForRoomAsLongAsItsCallerDoes) {
+  HandOver(milliseconds{60}, milliseconds{8000});
+  AdvanceTime(milliseconds{2000});
+  EXPECT_TRUE(Take<ResultCommand>().empty());
+  AdvanceTime(milliseconds{6000});
+  EXPECT_EQ(Take<ResultCommand>().at(0).result.outcome, JobOutcome::kStopped);
+}
+
+TEST_F(HandedOverJob, IsGivenUpOnceItCannotEndInTime) {
+  HandOver(milliseconds{900}, milliseconds{8000});
+  AdvanceTime(milliseconds{7900});
+  const auto results = Take<ResultCommand>();
+  ASSERT_EQ(results.size(), 1U);
+  EXPECT_EQ(results[0].result.outcome, JobOutcome::kStopped);
+  EXPECT_EQ(results[0].reason, GiveUpReason::kNoChance);
+}
+
 TEST_F(TaskPlacement, KeepsHopelessJobThatMayRunElsewhere) {
   Begin({MakeEntry("only", 32'000)});
   auto hopeless = MakeOffer(1, 1);
