Answer the callers whose jobs outlast a planned stop

Their connections broke without an answer when the process ended, 5 s after SIGTERM. Jobs of callers that wait 1.5 s could not last until then; those of callers that wait longer can.

Change: at the end of the drain the origin withdraws its jobs and answers 504, or 503 with Retry-After to those that no holder had. The process ends 0.3 s later.

--- a/main/entry/entry_instance.cc
+++ b/main/entry/entry_instance.cc
@@ -24,8 +24,10 @@
 // checks. Until then it still sends new connections.
 constexpr milliseconds kDeregistrationTime{2200};
 // The platform kills a process 6 s after SIGTERM, so the drain has to end
-// earlier.
+// earlier. Jobs that have not ended by then are given up.
 constexpr milliseconds kMaxDrainTime{5000};
+// Time for the last answers to leave before the process ends.
+constexpr milliseconds kLastAnswersTime{300};
 // File descriptors that callers may not use: the readiness check, metrics and
 // other files need them.
 constexpr size_t kReservedDescriptors = 600;
@@ -202,6 +204,16 @@
   return success();
 }
 
+// Answers the callers whose jobs outlast the drain: one whose connection breaks
+// would learn nothing.
+auto GiveUpCallers(EntryState& state) -> void {
+  Log(LogLevel::kWarning, "callers_given_up",
+      {{"callers", state.callers.size()}});
+  IntakeCommands commands;
+  OnStopping(state.intake, commands);
+  RunIntakeCommands(state, commands);
+}
+
 auto ContinueDrain(EntryState& state, Instant now) -> void {
   if (!state.draining_since) {
     return;
@@ -212,9 +224,14 @@
     // on it.
     state.caller_server->Drain();
   }
+  if (passed >= kMaxDrainTime && !state.callers.empty()) {
+    GiveUpCallers(state);
+    return;
+  }
   const auto idle = state.callers.empty() && state.cancel_callers.empty() &&
                     state.schedulers.empty();
-  if ((passed >= kDeregistrationTime && idle) || passed >= kMaxDrainTime) {
+  if ((passed >= kDeregistrationTime && idle) ||
+      passed >= kMaxDrainTime + kLastAnswersTime) {
     Log(LogLevel::kInfo, "stopped", {{"unanswered", state.callers.size()}});
     state.context.stop();
   }
--- a/servers/intake/intake.cc
+++ b/servers/intake/intake.cc
@@ -232,6 +232,17 @@
   }
 }
 
+// Answers a job that this instance gives up, and withdraws it from its holder.
+auto GiveUp(Intake& state, JobName name, IntakeCommands& out) -> void {
+  const auto group = state.jobs.at(name).group;
+  if (group.empty()) {
+    Answer(state, name, JobOutcome::kRefused, kRetryAfter, out);
+    return;
+  }
+  out.push_back(WithdrawJob{.group = group, .job = name});
+  Answer(state, name, JobOutcome::kStopped, milliseconds{0}, out);
+}
+
 auto GiveUpAt(const AcceptedJob& job) -> Instant {
   return job.group.empty()
              ? std::min(job.deadline, job.arrived + kHolderWaitTimeout)
@@ -385,13 +396,13 @@
     }
   }
   for (const auto name : due) {
-    const auto& job = state.jobs.at(name);
-    const auto handed = !job.group.empty();
-    if (handed) {
-      out.push_back(WithdrawJob{.group = job.group, .job = name});
-    }
-    Answer(state, name, handed ? JobOutcome::kStopped : JobOutcome::kRefused,
-           handed ? milliseconds{0} : kRetryAfter, out);
+    GiveUp(state, name, out);
+  }
+}
+
+auto OnStopping(Intake& state, IntakeCommands& out) -> void {
+  while (!state.jobs.empty()) {
+    GiveUp(state, state.jobs.begin()->first, out);
   }
 }
 
--- a/servers/intake/intake.h
+++ b/servers/intake/intake.h
@@ -115,6 +115,8 @@
                        EvacuatedGroups evacuated,
                        Instant now,
                        IntakeCommands& out) -> void;
+// Handles that this instance is about to stop: answers all jobs.
+auto OnStopping(Intake& state, IntakeCommands& out) -> void;
 // Gives up the jobs that can't be answered in time any more.
 auto OnTime(Intake& state, Instant now, IntakeCommands& out) -> void;
 auto NextDue(const Intake& state) -> std::optional<Instant>;
--- a/tests/process/entry_test.cc
+++ b/tests/process/entry_test.cc
@@ -99,6 +99,26 @@
   EXPECT_TRUE(fleet.AwaitService());
 }
 
+// Guards against connections that break without an answer: the process ended
+// while jobs that outlast the drain were still in progress.
+TEST_F(EntryInstances, AnswerJobsThatOutlastTheirPlannedStop) {
+  for (const auto* id : {"north-1", "north-2", "north-3", "north-4", "south-1",
+                         "south-2", "south-3", "south-4"}) {
+    fleet.Control("/worker", {{"id", id}, {"run_ms", 20'000}});
+  }
+  auto& instance = fleet.Instances()[0];
+  auto status = 0;
+  std::thread caller([&] {
+    status = fleet.Submit(instance, 1ULL << 43U, 3, seconds(30)).status;
+  });
+  std::this_thread::sleep_for(milliseconds(500));
+  instance.process->Signal(SIGTERM);
+  EXPECT_EQ(instance.process->Wait(seconds(6)), 0);
+  caller.join();
+  EXPECT_EQ(status, 504);
+  ExpectNoUnsafeRuns();
+}
+
 TEST_F(EntryInstances, FailOverWhenStoreIsUnavailable) {
   fleet.Control("/store", {{"mode", "refuses"}});
   // Kills each of the two instances of one zone in turn, because one of them is
--- a/tests/servers/intake/intake_test.cc
+++ b/tests/servers/intake/intake_test.cc
@@ -277,6 +277,26 @@
   EXPECT_EQ(Take<AnswerJob>().at(0).result.outcome, JobOutcome::kStopped);
 }
 
+TEST_F(HandedOverJob, IsWithdrawnAndAnsweredWhenInstanceStops) {
+  OnStopping(state, out);
+  ASSERT_EQ(out.size(), 2U);
+  EXPECT_EQ(std::get<WithdrawJob>(out[0]).job, JobName{1});
+  EXPECT_EQ(std::get<AnswerJob>(out[1]).result.outcome, JobOutcome::kStopped);
+  EXPECT_TRUE(state.jobs.empty());
+}
+
+TEST_F(IntakeFixture, RefusesJobThatNoHolderHasWhenInstanceStops) {
+  LoseHolder("north");
+  LoseHolder("south");
+  out.clear();
+  Submit(1, 1);
+  OnStopping(state, out);
+  const auto answers = Take<AnswerJob>();
+  ASSERT_EQ(answers.size(), 1U);
+  EXPECT_EQ(answers[0].result.outcome, JobOutcome::kRefused);
+  EXPECT_GT(answers[0].result.retry_after, milliseconds{0});
+}
+
 TEST_F(HandedOverJob, IgnoresResultOfFormerHolder) {
   SetGroupView("north", 11, 20);
   out.clear();
