Confirm a cancelled job only once its origin has

Cause: a holder that found the job decided alone. The origin, which knew of nothing, handed the job to the next holder when the connection ended. Change: a holder asks the origin as well and confirms after it; without its confirmation the answer is 503 with Retry-After.

--- a/main/entry/cancel_flow.cc
+++ b/main/entry/cancel_flow.cc
@@ -1,8 +1,6 @@
 #include "main/entry/cancel_flow.h"
 
-#include <set>
 #include <utility>
-#include <vector>
 
 #include "core/log/log.h"
 #include "main/entry/entry_instance.h"
@@ -16,13 +14,8 @@
 // Time after which a caller should ask again when a holder did not confirm.
 constexpr milliseconds kRetryAfterUnconfirmed{1000};
 
-struct OtherHolders {
-  std::set<HolderId> links;
-  bool complete = true;  // every group has a holder that can be asked
-};
-
-auto FindOtherHolders(const EntryState& state) -> OtherHolders {
-  OtherHolders out;
+// Adds the holders of the groups that this instance does not hold.
+auto AddOtherHolders(const EntryState& state, CancelTargets& out) -> void {
   for (const auto& [group, term] : state.succession.groups) {
     if (state.schedulers.contains(group)) {
       continue;
@@ -32,26 +25,36 @@
     if (link == 0 || term.status != HolderStatus::kReachable) {
       out.complete = false;
     } else {
-      out.links.insert(link);
+      out.holders.insert(link);
     }
   }
-  return out;
 }
 
-// Ends the job wherever this instance has it. Returns whether it had it.
-auto CancelHere(EntryState& state, JobName job) -> bool {
+// Ends the job wherever this instance has it.
+auto CancelHere(EntryState& state, JobName job) -> CancelTargets {
   const auto now = BootClock::now();
   RememberCancelled(state.cancellations, job, now);
+  CancelTargets out;
   IntakeCommands commands;
-  auto found = OnCancelledByCaller(state.intake, job, commands);
+  out.found = OnCancelledByCaller(state.intake, job, commands);
   RunIntakeCommands(state, commands);
-  ForEachHeldGroup(state, [&](Scheduler& scheduler, SchedulerCommands& out) {
-    found = OnCancelledByCaller(scheduler, job, now, out) || found;
-  });
-  if (found && MayLog(state.log_budget, now)) {
+  ForEachHeldGroup(
+      state, [&](Scheduler& scheduler, SchedulerCommands& scheduler_commands) {
+        const auto it = scheduler.jobs.find(job);
+        const auto origin =
+            it == scheduler.jobs.end() ? OriginId{0} : it->second.origin;
+        if (!OnCancelledByCaller(scheduler, job, now, scheduler_commands)) {
+          return;
+        }
+        out.found = true;
+        if (origin != 0) {
+          out.origins.insert(origin);
+        }
+      });
+  if (out.found && MayLog(state.log_budget, now)) {
     Log(LogLevel::kInfo, "job_cancelled", {{"job", platform::ToString(job)}});
   }
-  return found;
+  return out;
 }
 
 auto EncodeCancel(CancelOutcome outcome) -> HttpResponse {
@@ -61,8 +64,10 @@
     case CancelOutcome::kNotFound:
       return platform::EncodeError(410, "no such job");
     case CancelOutcome::kUnconfirmed:
-      return platform::EncodeRefusal(kRetryAfterUnconfirmed,
-                                     "not cancelled: a holder is unreachable");
+      return platform::EncodeRefusal(
+          kRetryAfterUnconfirmed,
+          "not confirmed: an instance that may have the "
+          "job cannot be reached");
   }
   return platform::EncodeError(500, "unknown outcome");
 }
@@ -72,16 +77,32 @@
                    CancelRequest{.job = command.job, .number = command.number});
 }
 
+// Confirms the request of another instance. One that can't be confirmed gets no
+// reply, so that the other instance does not report the job as cancelled.
+auto AnswerPeer(EntryState& state, const AnswerCancel& command) -> void {
+  const auto it = state.cancel_peers.find(command.number);
+  if (it == state.cancel_peers.end()) {
+    return;
+  }
+  const auto peer = it->second;
+  state.cancel_peers.erase(it);
+  if (command.outcome == CancelOutcome::kCancelled) {
+    state.link->Send(peer.link,
+                     CancelReply{.number = peer.number, .found = true});
+  }
+}
+
 auto Execute(EntryState& state, const AnswerCancel& command) -> void {
+  if (command.outcome == CancelOutcome::kUnconfirmed) {
+    state.metrics.CountEvent("cancel_unconfirmed");
+  }
   const auto it = state.cancel_callers.find(command.number);
   if (it == state.cancel_callers.end()) {
+    AnswerPeer(state, command);
     return;
   }
   const auto respond = std::move(it->second);
   state.cancel_callers.erase(it);
-  if (command.outcome == CancelOutcome::kUnconfirmed) {
-    state.metrics.CountEvent("cancel_unconfirmed");
-  }
   respond(EncodeCancel(command.outcome));
 }
 
@@ -89,13 +110,11 @@
 
 auto OnCallerCancel(EntryState& state, JobName job, HttpResponder respond)
     -> void {
-  const auto found = CancelHere(state, job);
-  const auto others = FindOtherHolders(state);
+  auto targets = CancelHere(state, job);
+  AddOtherHolders(state, targets);
   CancelCommands commands;
-  const auto number = OnCancelRequested(
-      state.cancellations, job, found,
-      std::vector<HolderId>(others.links.begin(), others.links.end()),
-      others.complete, BootClock::now(), commands);
+  const auto number = OnCancelRequested(state.cancellations, job, targets,
+                                        BootClock::now(), commands);
   state.cancel_callers.emplace(number, std::move(respond));
   RunCancelCommands(state, commands);
   ArmDueTimer(state);
@@ -103,8 +122,20 @@
 
 auto OnPeerCancel(EntryState& state, LinkId link, const CancelRequest& request)
     -> void {
-  const auto found = CancelHere(state, request.job);
-  state.link->Send(link, CancelReply{.number = request.number, .found = found});
+  auto targets = CancelHere(state, request.job);
+  // An origin that asks does not hand the job over any more.
+  targets.origins.erase(link);
+  if (targets.origins.empty()) {
+    state.link->Send(
+        link, CancelReply{.number = request.number, .found = targets.found});
+    return;
+  }
+  CancelCommands commands;
+  const auto number = OnCancelRequested(state.cancellations, request.job,
+                                        targets, BootClock::now(), commands);
+  state.cancel_peers[number] = {.link = link, .number = request.number};
+  RunCancelCommands(state, commands);
+  ArmDueTimer(state);
 }
 
 auto RunCancelCommands(EntryState& state, const CancelCommands& commands)
--- a/main/entry/entry_state.h
+++ b/main/entry/entry_state.h
@@ -45,6 +45,12 @@
   Instant arrived;
 };
 
+// The instance that asked this one to cancel a job.
+struct CancellingPeer {
+  LinkId link = 0;
+  uint64_t number = 0;  // of its request
+};
+
 struct EntryState {
   EntryState(boost::asio::io_context& io,
              platform::Settings from,
@@ -84,8 +90,10 @@
   std::unordered_map<JobName, WaitingCaller> callers;
   std::unordered_map<uint64_t, JobName> jobs_by_request;
   Cancellations cancellations;
-  // The callers whose cancel requests are not yet confirmed.
+  // The callers and the other instances whose cancel requests are not yet
+  // confirmed.
   std::map<CancelNumber, HttpResponder> cancel_callers;
+  std::map<CancelNumber, CancellingPeer> cancel_peers;
 
   std::unique_ptr<platform::StoreClient> store;
   std::shared_ptr<platform::TableFollower> operator_rows;
--- a/servers/cancellation/cancellation.cc
+++ b/servers/cancellation/cancellation.cc
@@ -17,22 +17,26 @@
   }
 }
 
-// Answers the caller if the outcome is known.
+auto OutcomeOf(const PendingCancel& pending) -> CancelOutcome {
+  if (pending.found && !pending.origin_unconfirmed) {
+    return CancelOutcome::kCancelled;
+  }
+  return pending.found || pending.unconfirmed ? CancelOutcome::kUnconfirmed
+                                              : CancelOutcome::kNotFound;
+}
+
+// Answers the request if the outcome is known.
 auto AnswerIfDecided(Cancellations& state,
                      std::map<CancelNumber, PendingCancel>::iterator it,
                      CancelCommands& out) -> void {
   const auto& pending = it->second;
-  const auto decided = pending.found || pending.awaited.empty();
+  const auto decided =
+      (pending.found && pending.origins.empty()) || pending.awaited.empty();
   if (!decided) {
     return;
   }
-  auto outcome = CancelOutcome::kNotFound;
-  if (pending.found) {
-    outcome = CancelOutcome::kCancelled;
-  } else if (pending.unconfirmed) {
-    outcome = CancelOutcome::kUnconfirmed;
-  }
-  out.push_back(AnswerCancel{.number = it->first, .outcome = outcome});
+  out.push_back(
+      AnswerCancel{.number = it->first, .outcome = OutcomeOf(pending)});
   state.pending.erase(it);
 }
 
@@ -55,17 +59,18 @@
 
 auto OnCancelRequested(Cancellations& state,
                        JobName job,
-                       bool found,
-                       const std::vector<HolderId>& holders,
-                       bool complete,
+                       const CancelTargets& targets,
                        Instant now,
                        CancelCommands& out) -> CancelNumber {
   RememberCancelled(state, job, now);
   const auto number = ++state.last_number;
-  PendingCancel pending{
-      .found = found, .unconfirmed = !complete, .due = now + kConfirmTimeout};
-  for (const auto it : holders) {
-    pending.awaited.insert(it);
+  PendingCancel pending{.awaited = targets.holders,
+                        .origins = targets.origins,
+                        .found = targets.found,
+                        .unconfirmed = !targets.complete,
+                        .due = now + kConfirmTimeout};
+  pending.awaited.insert(targets.origins.begin(), targets.origins.end());
+  for (const auto it : pending.awaited) {
     out.push_back(AskHolder{.holder = it, .number = number, .job = job});
   }
   const auto it = state.pending.emplace(number, std::move(pending)).first;
@@ -82,6 +87,7 @@
   if (it == state.pending.end() || it->second.awaited.erase(holder) == 0) {
     return;
   }
+  it->second.origins.erase(holder);
   it->second.found = it->second.found || found;
   AnswerIfDecided(state, it, out);
 }
@@ -92,6 +98,9 @@
     const auto next = std::next(it);
     if (it->second.awaited.erase(holder) > 0) {
       it->second.unconfirmed = true;
+      if (it->second.origins.erase(holder) > 0) {
+        it->second.origin_unconfirmed = true;
+      }
       AnswerIfDecided(state, it, out);
     }
     it = next;
@@ -102,6 +111,9 @@
   // The numbers rise with the times at which the requests are due.
   while (!state.pending.empty() && state.pending.begin()->second.due <= now) {
     const auto it = state.pending.begin();
+    it->second.origin_unconfirmed =
+        it->second.origin_unconfirmed || !it->second.origins.empty();
+    it->second.origins.clear();
     it->second.awaited.clear();
     it->second.unconfirmed = true;
     AnswerIfDecided(state, it, out);
--- a/servers/cancellation/cancellation.h
+++ b/servers/cancellation/cancellation.h
@@ -1,7 +1,9 @@
 // Handles that callers cancel jobs. A caller may ask any instance, which may
 // know neither the job's origin nor its holder, so the request goes to all
 // holders of groups. Each of them remembers the job's name, so that the job is
-// not started when it is handed over later, and confirms the request.
+// not started when it is handed over later, and confirms the request. A holder
+// that has the job confirms only after the job's origin: until that one knows
+// of the request, it may hand the job to another holder.
 #ifndef SERVERS_CANCELLATION_CANCELLATION_H_
 #define SERVERS_CANCELLATION_CANCELLATION_H_
 
@@ -19,7 +21,8 @@
 
 namespace boragecroft {
 
-// Connection to the holder of one or more groups.
+// Connection to an instance that is asked: the holder of one or more groups, or
+// the origin of a job.
 using HolderId = uint64_t;
 
 // Number of a cancel request of this instance.
@@ -28,16 +31,28 @@
 enum class CancelOutcome : uint8_t {
   kCancelled,    // the job was found; no more of its tasks are started
   kNotFound,     // all holders confirmed that they do not have the job
-  kUnconfirmed,  // a holder could not be asked or did not confirm in time
+  kUnconfirmed,  // a holder, or the origin of a job that was found, could not
+                 // be asked or did not confirm in time
 };
 
 struct PendingCancel {
   std::set<HolderId> awaited;
+  std::set<HolderId> origins;  // of these, the job's origins
   bool found = false;
-  bool unconfirmed = false;
+  bool unconfirmed = false;         // by a holder
+  bool origin_unconfirmed = false;  // the job may be handed over again
   Instant due;
 };
 
+// Where a job may be, as the instance that is asked to cancel it knows.
+struct CancelTargets {
+  bool found = false;  // this instance had the job
+  // Other instances that had handed it to this one.
+  std::set<HolderId> origins;
+  std::set<HolderId> holders;  // other holders
+  bool complete = true;        // every group has a holder that can be asked
+};
+
 struct Cancellations {
   // Names of cancelled jobs, each until when it is remembered.
   std::unordered_map<JobName, Instant> remembered;
@@ -63,14 +78,11 @@
 auto RememberCancelled(Cancellations& state, JobName job, Instant now) -> void;
 auto IsCancelled(const Cancellations& state, JobName job, Instant now) -> bool;
 
-// Handles a caller's request and returns its number. `found` tells whether this
-// instance has the job, `holders` are the other holders, and `complete` tells
-// whether every group has a holder that can be asked.
+// Handles a request of a caller, or of another instance, and returns its
+// number.
 auto OnCancelRequested(Cancellations& state,
                        JobName job,
-                       bool found,
-                       const std::vector<HolderId>& holders,
-                       bool complete,
+                       const CancelTargets& targets,
                        Instant now,
                        CancelCommands& out) -> CancelNumber;
 auto OnCancelConfirmed(Cancellations& state,
@@ -78,6 +90,7 @@
                        CancelNumber number,
                        bool found,
                        CancelCommands& out) -> void;
+// Handles that the connection to an instance that may have been asked ended.
 auto OnHolderLost(Cancellations& state, HolderId holder, CancelCommands& out)
     -> void;
 auto OnTime(Cancellations& state, Instant now, CancelCommands& out) -> void;
--- a/tests/process/cancelled_job_test.cc
+++ b/tests/process/cancelled_job_test.cc
@@ -80,5 +80,37 @@
   }
 }
 
+// A zone whose holder can be cut off from the other instance, which is the
+// origin of a job, and from the store.
+class JobOfHolderThatIsCutOff : public testing::Test {
+ protected:
+  void SetUp() override {
+    ASSERT_TRUE(fleet.AwaitService());
+    fleet.Control("/worker", {{"id", "north-1"}, {"run_ms", 600}});
+  }
+
+  PlatformFleet fleet{{"north"}, 2, 1, FleetNetwork::kRelayed};
+};
+
+// Guards against a job that is started anew after its cancellation was
+// acknowledged: its origin, which knew of no cancellation, handed it to the
+// next holder.
+TEST_F(JobOfHolderThatIsCutOff, IsNotReportedAsCancelled) {
+  const auto holder = fleet.FindHolder("north");
+  const auto& origin = fleet.Instances()[1 - holder];
+  auto reply = std::async(std::launch::async, [&] {
+    return fleet.Submit(origin, kJob, 6, seconds(5));
+  });
+  std::this_thread::sleep_for(milliseconds(300));
+  fleet.CutOff(fleet.Instances()[holder]);
+  EXPECT_EQ(fleet.Cancel(fleet.Instances()[holder], kJob).status, 503);
+  fleet.Reconnect(fleet.Instances()[holder]);
+  {
+    SCOPED_TRACE("its origin can cancel it");
+    EXPECT_EQ(fleet.Cancel(origin, kJob).status, 200);
+    EXPECT_EQ(reply.get().Text("state"), "cancelled");
+  }
+}
+
 }  // namespace
 }  // namespace boragecroft::lab
--- a/tests/servers/cancellation/cancellation_test.cc
+++ b/tests/servers/cancellation/cancellation_test.cc
@@ -7,9 +7,15 @@
 
 class CancelRequestOfCaller : public testing::Test {
  protected:
-  auto Request(bool found, bool complete = true) -> CancelNumber {
-    return OnCancelRequested(state, JobName{1}, found, {5, 6}, complete, now,
-                             out);
+  auto Request(bool found,
+               bool complete = true,
+               const std::set<HolderId>& origins = {}) -> CancelNumber {
+    return OnCancelRequested(state, JobName{1},
+                             {.found = found,
+                              .origins = origins,
+                              .holders = {5, 6},
+                              .complete = complete},
+                             now, out);
   }
 
   auto Confirm(HolderId holder, CancelNumber number, bool found) -> void {
@@ -88,6 +94,42 @@
   EXPECT_FALSE(NextDue(state));
 }
 
+// Guards against a job that is started anew after its cancellation was
+// acknowledged: its holder was cut off, and its origin, which knew of no
+// cancellation, handed it to the next holder.
+class CancelRequestAtHolder : public CancelRequestOfCaller {
+ protected:
+  void SetUp() override { number = Request(true, true, {7}); }
+
+  CancelNumber number = 0;
+};
+
+TEST_F(CancelRequestAtHolder, IsAnsweredOnceOriginHasConfirmed) {
+  EXPECT_EQ(std::get<AskHolder>(out.back()).holder, 7U);
+  EXPECT_TRUE(TakeAnswers().empty());
+  Confirm(5, number, false);
+  EXPECT_TRUE(TakeAnswers().empty());
+  Confirm(7, number, true);
+  EXPECT_EQ(TakeAnswers(), Answers{CancelOutcome::kCancelled});
+}
+
+TEST_F(CancelRequestAtHolder, IsAnsweredWhenOriginHasJobNoMore) {
+  Confirm(7, number, false);
+  EXPECT_EQ(TakeAnswers(), Answers{CancelOutcome::kCancelled});
+}
+
+TEST_F(CancelRequestAtHolder, IsUnconfirmedWhenOriginIsLost) {
+  OnHolderLost(state, 7, out);
+  EXPECT_EQ(TakeAnswers(), Answers{CancelOutcome::kUnconfirmed});
+}
+
+TEST_F(CancelRequestAtHolder, IsUnconfirmedWhenOriginDoesNotAnswerInTime) {
+  Confirm(5, number, false);
+  Confirm(6, number, false);
+  OnTime(state, NextDue(state).value(), out);
+  EXPECT_EQ(TakeAnswers(), Answers{CancelOutcome::kUnconfirmed});
+}
+
 class RememberedCancellation : public CancelRequestOfCaller {};
 
 TEST_F(RememberedCancellation, LastsForSecondsAndThenEnds) {
