--- a/tests/platform/table_follower_test.cc
+++ b/tests/platform/table_follower_test.cc
@@ -89,6 +89,22 @@
   EXPECT_EQ(seen.back(), "+a");
 }
 
+// Guards against a foreign row that is taken for the configuration: it had the
+// same key in another part of the table.
+TEST_F(FollowedTable, IgnoresRowsOfOtherParts) {
+  feed_answers = {R"({"rows":[{"part":"p7","key":"a","value":"eQ==","ver":6},)"
+                  R"({"part":"p7","key":"a","ver":7,"deleted":true},)"
+                  R"({"part":"p7","key":"b","value":"eQ==","ver":8},)"
+                  R"({"part":"","key":"c","value":"eQ==","ver":9}],"ver":9})"};
+  follower->Start();
+  RunFor(milliseconds{300});
+  EXPECT_EQ(seen, (std::vector<std::string>{"+a", "+c"}));
+  auto foreign = PeerRow("a", 12);
+  foreign.part = "p7";
+  follower->ApplyFromPeer(foreign);
+  EXPECT_EQ(seen.size(), 2U);
+}
+
 TEST_F(FollowedTable, TakesRowsOfPeerWhileStoreHasNotAnswered) {
   follower->ApplyFromPeer(PeerRow("a", 3));
   EXPECT_EQ(seen, (std::vector<std::string>{"+a"}));
