Send no grant on a connection that was closed after its confirmation

A worker that ends a connection with its answer would have got the order on a connection that is opened again, and that may lead to another incarnation than the one that answered.

--- a/tests/platform/worker_client_test.cc
+++ b/tests/platform/worker_client_test.cc
@@ -4,8 +4,14 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <list>
 #include <memory>
 #include <optional>
+#include <string>
+#include <vector>
 
 #include "tests/standins/fleet/fleet_worker.h"
 
@@ -123,5 +129,77 @@
   EXPECT_EQ(statistics.starts, 0U);
 }
 
+// A worker that ends each connection with its first answer.
+class WorkerThatClosesConnections : public testing::Test {
+ protected:
+  void SetUp() override { Accept(); }
+
+  auto Accept() -> void {
+    acceptor.async_accept(
+        [this](boost::system::error_code ec, boost::asio::ip::tcp::socket in) {
+          if (!ec) {
+            sockets.push_back(std::move(in));
+            Answer(sockets.back());
+            Accept();
+          }
+        });
+  }
+
+  auto Answer(boost::asio::ip::tcp::socket& socket) -> void {
+    socket.async_read_some(
+        boost::asio::buffer(buf),
+        [this, &socket](boost::system::error_code ec, size_t n) {
+          if (ec) {
+            return;
+          }
+          requests.emplace_back(buf.data(), n);
+          const std::string body =
+              R"({"clock_ms":5,"born":1000,"running":[],"finished":[]})";
+          boost::asio::write(
+              socket,
+              boost::asio::buffer(
+                  "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: " +
+                  std::to_string(body.size()) + "\r\n\r\n" + body),
+              ec);
+          socket.close(ec);
+        });
+  }
+
+  std::array<char, 4096> buf{};
+  std::list<boost::asio::ip::tcp::socket> sockets;
+  boost::asio::io_context context;
+  boost::asio::ip::tcp::acceptor acceptor{
+      context,
+      {boost::asio::ip::make_address("127.0.0.1"), uint16_t{0}}};
+  std::vector<std::string> requests;
+};
+
+// Guards against a start on a connection that was opened again, which may lead
+// to another incarnation than the one that answered on it before.
+TEST_F(WorkerThatClosesConnections, GetsNoStartOnConnectionThatIsOpenedAgain) {
+  std::optional<OrderAnswer> answer;
+  WorkerClient client(
+      context,
+      {.on_start = [&](const StartCommand&, OrderAnswer it) { answer = it; },
+       .on_stop = [](const StopCommand&, OrderAnswer) {},
+       .on_renew = [](const RenewCommand&, OrderAnswer, const RunReport*,
+                      Instant) {}});
+  client.Send(StartCommand{
+      .target = {.worker = "w1",
+                 .address = {.ip = "127.0.0.1",
+                             .port = acceptor.local_endpoint().port()},
+                 .token = 7,
+                 .incarnation = milliseconds{1000}},
+      .task = {.job = JobName{1}},
+      .attempt = 1,
+      .spec = std::make_shared<std::string>("spec"),
+      .lease = milliseconds{500}});
+  while (!answer && context.run_one_for(seconds(5)) > 0) {
+  }
+  EXPECT_EQ(answer, OrderAnswer::kUnconfirmed);
+  ASSERT_EQ(requests.size(), 1U);
+  EXPECT_TRUE(requests[0].starts_with("POST /hold"));
+}
+
 }  // namespace
 }  // namespace boragecroft::platform
