Keep a cancelling unconfirmed when it is asked for again

A holder that is cut off answered the first DELETE with 503, since the origin had not confirmed, and the second with 410: the first had ended the job there. The caller took that for an acknowledgement, while the origin could still hand the job to the next holder.

Cause: that the origin had not confirmed was forgotten with the request. Change: it is remembered beside the name of the job, and both a later request here and one of another instance stay unconfirmed until the job is found. The request of another instance takes the same way as a caller's.

--- a/main/entry/cancel_flow.cc
+++ b/main/entry/cancel_flow.cc
@@ -77,8 +77,9 @@
                    CancelRequest{.job = command.job, .number = command.number});
 }
 
-// Confirms the request of another instance. One that can't be confirmed gets no
-// reply, so that the other instance does not report the job as cancelled.
+// Replies to the request of another instance. One that can't be confirmed gets
+// no reply, so that the other instance does not answer its caller as if it
+// were.
 auto AnswerPeer(EntryState& state, const AnswerCancel& command) -> void {
   const auto it = state.cancel_peers.find(command.number);
   if (it == state.cancel_peers.end()) {
@@ -86,9 +87,10 @@
   }
   const auto peer = it->second;
   state.cancel_peers.erase(it);
-  if (command.outcome == CancelOutcome::kCancelled) {
+  if (command.outcome != CancelOutcome::kUnconfirmed) {
+    const auto found = command.outcome == CancelOutcome::kCancelled;
     state.link->Send(peer.link,
-                     CancelReply{.number = peer.number, .found = true});
+                     CancelReply{.number = peer.number, .found = found});
   }
 }
 
@@ -125,11 +127,6 @@
   auto targets = CancelHere(state, request.job);
   // An origin that asks does not hand the job over any more.
   targets.origins.erase(link);
-  if (targets.origins.empty()) {
-    state.link->Send(
-        link, CancelReply{.number = request.number, .found = targets.found});
-    return;
-  }
   CancelCommands commands;
   const auto number = OnCancelRequested(state.cancellations, request.job,
                                         targets, BootClock::now(), commands);
--- a/servers/cancellation/cancellation.cc
+++ b/servers/cancellation/cancellation.cc
@@ -12,7 +12,7 @@
   const auto [until, job] = state.expiries.front();
   state.expiries.pop_front();
   const auto it = state.remembered.find(job);
-  if (it != state.remembered.end() && it->second == until) {
+  if (it != state.remembered.end() && it->second.until == until) {
     state.remembered.erase(it);
   }
 }
@@ -35,6 +35,12 @@
   if (!decided) {
     return;
   }
+  if (pending.found) {
+    const auto remembered = state.remembered.find(pending.job);
+    if (remembered != state.remembered.end()) {
+      remembered->second.origin_unconfirmed = pending.origin_unconfirmed;
+    }
+  }
   out.push_back(
       AnswerCancel{.number = it->first, .outcome = OutcomeOf(pending)});
   state.pending.erase(it);
@@ -48,13 +54,13 @@
     ForgetOldest(state);
   }
   const auto until = now + kRemembered;
-  state.remembered[job] = until;
+  state.remembered[job].until = until;
   state.expiries.emplace_back(until, job);
 }
 
 auto IsCancelled(const Cancellations& state, JobName job, Instant now) -> bool {
   const auto it = state.remembered.find(job);
-  return it != state.remembered.end() && now < it->second;
+  return it != state.remembered.end() && now < it->second.until;
 }
 
 auto OnCancelRequested(Cancellations& state,
@@ -63,12 +69,18 @@
                        Instant now,
                        CancelCommands& out) -> CancelNumber {
   RememberCancelled(state, job, now);
+  auto& remembered = state.remembered[job];
   const auto number = ++state.last_number;
-  PendingCancel pending{.awaited = targets.holders,
-                        .origins = targets.origins,
-                        .found = targets.found,
-                        .unconfirmed = !targets.complete,
-                        .due = now + kConfirmTimeout};
+  PendingCancel pending{
+      .job = job,
+      .awaited = targets.holders,
+      .origins = targets.origins,
+      .found = targets.found,
+      .unconfirmed = !targets.complete || remembered.origin_unconfirmed,
+      .due = now + kConfirmTimeout};
+  if (!targets.origins.empty()) {
+    remembered.origin_unconfirmed = true;
+  }
   pending.awaited.insert(targets.origins.begin(), targets.origins.end());
   for (const auto it : pending.awaited) {
     out.push_back(AskHolder{.holder = it, .number = number, .job = job});
--- a/servers/cancellation/cancellation.h
+++ b/servers/cancellation/cancellation.h
@@ -36,6 +36,7 @@
 };
 
 struct PendingCancel {
+  JobName job;
   std::set<HolderId> awaited;
   std::set<HolderId> origins;  // of these, the job's origins
   bool found = false;
@@ -53,9 +54,16 @@
   bool complete = true;        // every group has a holder that can be asked
 };
 
+struct RememberedCancel {
+  Instant until;
+  // Set when a holder here has ended the job while its origin, which may hand
+  // it over again, has not confirmed. Later requests can't be answered until
+  // the job is found elsewhere.
+  bool origin_unconfirmed = false;
+};
+
 struct Cancellations {
-  // Names of cancelled jobs, each until when it is remembered.
-  std::unordered_map<JobName, Instant> remembered;
+  std::unordered_map<JobName, RememberedCancel> remembered;
   std::deque<std::pair<Instant, JobName>> expiries;  // in ascending order
   CancelNumber last_number = 0;
   std::map<CancelNumber, PendingCancel> pending;
--- a/tests/process/cancelled_job_test.cc
+++ b/tests/process/cancelled_job_test.cc
@@ -104,6 +104,10 @@
   std::this_thread::sleep_for(milliseconds(300));
   fleet.CutOff(fleet.Instances()[holder]);
   EXPECT_EQ(fleet.Cancel(fleet.Instances()[holder], kJob).status, 503);
+  {
+    SCOPED_TRACE("nor as unknown, although the holder has ended it");
+    EXPECT_EQ(fleet.Cancel(fleet.Instances()[holder], kJob).status, 503);
+  }
   fleet.Reconnect(fleet.Instances()[holder]);
   {
     SCOPED_TRACE("its origin can cancel it");
--- a/tests/servers/cancellation/cancellation_test.cc
+++ b/tests/servers/cancellation/cancellation_test.cc
@@ -130,6 +130,31 @@
   EXPECT_EQ(TakeAnswers(), Answers{CancelOutcome::kUnconfirmed});
 }
 
+// Guards against an acknowledgement that is not true: the first request had
+// ended the job at its holder, so that the second one found nothing there.
+TEST_F(CancelRequestAtHolder, StaysUnconfirmedWhenRepeated) {
+  const auto early = Request(false);
+  Confirm(5, early, false);
+  Confirm(6, early, false);
+  EXPECT_EQ(TakeAnswers(), Answers{CancelOutcome::kUnconfirmed});
+  OnHolderLost(state, 7, out);
+  TakeAnswers();
+  const auto again = Request(false);
+  Confirm(5, again, false);
+  Confirm(6, again, false);
+  EXPECT_EQ(TakeAnswers(), Answers{CancelOutcome::kUnconfirmed});
+  {
+    SCOPED_TRACE("until an instance that can confirm has found the job");
+    const auto found = Request(false);
+    Confirm(5, found, true);
+    EXPECT_EQ(TakeAnswers(), Answers{CancelOutcome::kCancelled});
+    const auto last = Request(false);
+    Confirm(5, last, false);
+    Confirm(6, last, false);
+    EXPECT_EQ(TakeAnswers(), Answers{CancelOutcome::kNotFound});
+  }
+}
+
 class RememberedCancellation : public CancelRequestOfCaller {};
 
 TEST_F(RememberedCancellation, LastsForSecondsAndThenEnds) {
