Bound a planned stop whatever callers send

Each heartbeat after the end of the drain gave up the callers that were left and did not look at the time. A caller that got another request in before each of them would have kept the process until SIGKILL.

EntryInstances.AnswerJobsThatOutlastTheirPlannedStop passes as before.

--- a/main/entry/entry_instance.cc
+++ b/main/entry/entry_instance.cc
@@ -224,12 +224,12 @@
     // on it.
     state.caller_server->Drain();
   }
-  if (passed >= kMaxDrainTime && !state.callers.empty()) {
+  const auto gives_up = passed >= kMaxDrainTime && !state.callers.empty();
+  if (gives_up) {
     GiveUpCallers(state);
-    return;
   }
-  const auto idle = state.callers.empty() && state.cancel_callers.empty() &&
-                    state.schedulers.empty();
+  const auto idle = !gives_up && state.callers.empty() &&
+                    state.cancel_callers.empty() && state.schedulers.empty();
   if ((passed >= kDeregistrationTime && idle) ||
       passed >= kMaxDrainTime + kLastAnswersTime) {
     Log(LogLevel::kInfo, "stopped", {{"unanswered", state.callers.size()}});
