Keep the numbers of order answers in the log

The two new answers stood in the middle of the enumeration, so that the numbers 7 to 9 of `start_not_accepted` meant other answers than docs/OPERATIONS.md says.

--- a/servers/scheduling/scheduler.h
+++ b/servers/scheduling/scheduler.h
@@ -121,12 +121,12 @@
   kFenced,        // the worker has seen a higher token
   kUnhealthy,     // the worker is unhealthy and did nothing
   kMoved,         // another worker answers at the address
-  kRestarted,     // not sent: the worker is another incarnation than the one
-                  // that the order is meant for
-  kUnconfirmed,   // not sent: the worker did not say which incarnation it is
   kInvalid,       // the worker could not read the order
   kNotSent,       // no byte was sent
   kNoAnswer,      // may have been carried out, or may be carried out later
+  kRestarted,     // not sent: the worker is another incarnation than the one
+                  // that the order is meant for
+  kUnconfirmed,   // not sent: the worker did not say which incarnation it is
 };
 
 struct ScheduledTask {
