--- a/servers/scheduling/worker_events.cc
+++ b/servers/scheduling/worker_events.cc
@@ -62,9 +62,9 @@
 }
 
 // Handles a restart of the worker: its earlier runs have ended and its counts
-// begin again. However, orders that this holder sent before it knew of the
-// restart may have reached the new incarnation. Therefore the runs stay in the
-// account until the worker, fenced by a higher token, reports what it runs.
+// begin again. However, an order that got no answer may be carried out by the
+// new incarnation. Therefore the runs stay in the account until the worker,
+// fenced by a higher token, reports what it runs.
 auto BeginIncarnation(Scheduler& state,
                       WorkerAccount& worker,
                       milliseconds started_at,
