--- a/bench/replay/main.cc
+++ b/bench/replay/main.cc
@@ -30,6 +30,7 @@
   bool bound = false;
   bool without_faults = false;   // no worker becomes faulty
   bool exact_run_times = false;  // declared run times are exact
+  bool early_callers = false;    // callers leave after 1.5 s
   std::string command;
 };
 
@@ -83,6 +84,9 @@
   if (arguments.exact_run_times) {
     shape.declared_spread = 0;
   }
+  if (arguments.early_callers) {
+    shape.wait_in_objectives = 0;
+  }
   return DrawWorkload(shape, arguments.seed + n);
 }
 
@@ -238,6 +242,8 @@
                                   line);
   TCLAP::SwitchArg exact_run_times("", "exact", "Declared run times are exact",
                                    line);
+  TCLAP::SwitchArg early_callers("", "early-callers",
+                                 "Callers leave after 1.5 s", line);
   TCLAP::SwitchArg bound("", "bound", "Also compute the upper bound", line);
   line.parse(argc, argv);
   Arguments out;
@@ -252,6 +258,7 @@
   out.jobs = std::max(1U, jobs.getValue());
   out.without_faults = without_faults.getValue();
   out.exact_run_times = exact_run_times.getValue();
+  out.early_callers = early_callers.getValue();
   out.bound = bound.getValue();
   out.command = "scripts/bench replay";
   for (int i = 1; i < argc; ++i) {
